--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Commands of the project. README.md says what each is for.
+BIN := bin
+TEST_FLAGS ?=
+
+.PHONY: all build demo test lint proof bench replay tool fmt
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build
+	$(BIN)/demo --bin $(BIN)
+
+test:
+	go test $(TEST_FLAGS) ./...
+
+proof:
+	go test -count=1 -run '^TestHolds' -v ./... | grep -E '^(=== RUN|--- |\s+--- |ok|FAIL|panic)' | grep -v '=== RUN'
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+replay:
+	go run ./cmd/replay
+
+tool: $(BIN)/golangci-lint
+
+$(BIN)/golangci-lint: tools/go.mod
+	cd tools && go build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: tool
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(BIN)/golangci-lint run ./...
+
+fmt: tool
+	$(BIN)/golangci-lint fmt ./...
--- /dev/null
+++ b/core/code.go
@@ -0,0 +1,119 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Code is a numbered result code. Codes are stable: a number is never reused.
+// docs/RESULT-CODES.md lists them and a test holds the two together.
+type Code uint16
+
+// Result codes. 1xx: the request did not run. 2xx: the outcome is unknown.
+// 3xx: settings and operators. 4xx: the platform. 5xx: groups and orders.
+// 6xx: start-up and shutdown of the system's own processes.
+const (
+	CodeOK Code = 0
+
+	CodeBadRequest      Code = 100
+	CodeUnauthorized    Code = 101
+	CodeNoModel         Code = 102
+	CodeNoGroup         Code = 103
+	CodeQueueFull       Code = 104
+	CodeDeadline        Code = 105
+	CodeOrgLimit        Code = 106
+	CodeQuarantined     Code = 107
+	CodeDraining        Code = 108
+	CodeKeyExpired      Code = 109
+	CodeClaimNoLog      Code = 110
+	CodeRefused         Code = 111
+	CodeDialFailed      Code = 112
+	CodeNoService       Code = 113
+	CodeHopLimit        Code = 114
+	CodeKeyInProgress   Code = 115
+	CodeKeyMismatch     Code = 116
+	CodeRetryBudget     Code = 117
+	CodeNotReady        Code = 118
+	CodeCallerGone      Code = 119
+	CodeTooLarge        Code = 120
+	CodePeerUnreachable Code = 121
+
+	CodeUnknownOutcome Code = 200
+	CodeUnknownOnce    Code = 201
+	CodeCrossedAnswer  Code = 202
+	CodeCutAnswer      Code = 203
+	CodeSilent         Code = 204
+
+	CodeSettingInvalid   Code = 300
+	CodeSettingUnknown   Code = 301
+	CodeSettingRaced     Code = 302
+	CodeSettingUncertain Code = 303
+	CodeNoSuchNode       Code = 304
+
+	CodeLogRefused  Code = 400
+	CodeLogUnknown  Code = 401
+	CodeLogGap      Code = 402
+	CodeLogDown     Code = 403
+	CodeHashAlarm   Code = 404
+	CodeSnapshotBad Code = 405
+	CodeRecordBad   Code = 406
+
+	CodeStaleOrder      Code = 500
+	CodeMemberMissing   Code = 501
+	CodeVMHeld          Code = 502
+	CodeGeneration      Code = 503
+	CodeMixedDomain     Code = 504
+	CodeNotConfirmed    Code = 505
+	CodeGroupUnknown    Code = 506
+	CodeVMUnknown       Code = 507
+	CodeNotRetired      Code = 508
+	CodeClaimTaken      Code = 509
+	CodeClaimNotHolder  Code = 510
+	CodeDuplicateRecord Code = 511
+	CodeRuleUnknown     Code = 512
+
+	CodeConfigInvalid Code = 600
+	CodeListenFailed  Code = 601
+	CodeStopBound     Code = 602
+)
+
+// Error is an error with a result code. Its source is the package that
+// detected the condition.
+type Error struct {
+	code   Code
+	detail string
+}
+
+var _ error = (*Error)(nil)
+
+// Errorf returns an Error with the code and the formatted detail.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{code: code, detail: fmt.Sprintf(format, args...)}
+}
+
+// Code returns the result code.
+func (err *Error) Code() Code { return err.code }
+
+// Detail returns the text without the code.
+func (err *Error) Detail() string { return err.detail }
+
+// Error returns the code and the detail.
+func (err *Error) Error() string {
+	return fmt.Sprintf("code %d: %s", err.code, err.detail)
+}
+
+// CodeOf returns the result code that err carries anywhere in its chain. It
+// returns CodeOK for nil and CodeUnknownOutcome for an error without a code.
+func CodeOf(err error) Code {
+	if err == nil {
+		return CodeOK
+	}
+	var ce *Error
+	if errors.As(err, &ce) {
+		return ce.code
+	}
+	return CodeUnknownOutcome
+}
+
+// NotRun reports whether the code states that the request surely did not run.
+func (cod Code) NotRun() bool { return cod >= 100 && cod < 200 }
--- /dev/null
+++ b/core/policy.go
@@ -0,0 +1,21 @@
+package core
+
+import "time"
+
+// Candidate is a group that could take a request, with what is known of it.
+type Candidate struct {
+	Group    GroupName
+	Order    Offset
+	Load     Load
+	LoadAt   time.Time
+	InFlight int
+	Capacity int
+}
+
+// Chooser picks the group for a request among candidates that may be sent
+// work. Blocks are the hashes of the prompt's prefix blocks, longest prefix
+// last. The random number rnd is uniform in [0, 1<<64). Choose returns the
+// index of the candidate, or -1 if cands is empty.
+type Chooser interface {
+	Choose(cands []Candidate, blocks []uint64, now time.Time, rnd uint64) int
+}
--- /dev/null
+++ b/core/recd/recd.go
@@ -0,0 +1,152 @@
+package recd
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"kumquathinge/core"
+)
+
+// Version is the newest record version that this program writes and reads.
+const Version uint16 = 1
+
+// Batch is the content of one log entry.
+type Batch struct {
+	Version uint16   `cbor:"1,keyasint"`
+	Records []Record `cbor:"2,keyasint"`
+}
+
+// Record is one proposal. Exactly one of the pointers is set.
+type Record struct {
+	ID       core.RecordID `cbor:"1,keyasint"`
+	By       string        `cbor:"2,keyasint"`
+	Setting  *Setting      `cbor:"10,keyasint,omitempty"`
+	Assign   *Assign       `cbor:"11,keyasint,omitempty"`
+	Retire   *Retire       `cbor:"12,keyasint,omitempty"`
+	Unload   *Unload       `cbor:"13,keyasint,omitempty"`
+	Claim    *Claim        `cbor:"14,keyasint,omitempty"`
+	Result   *Result       `cbor:"15,keyasint,omitempty"`
+	Release  *Release      `cbor:"16,keyasint,omitempty"`
+	Snapshot *Snapshot     `cbor:"17,keyasint,omitempty"`
+	Rule     *Rule         `cbor:"18,keyasint,omitempty"`
+}
+
+// Setting changes one key of one node of the settings tree. Base is the
+// version (offset) of the node that the change was made from; the fold
+// rejects the record if the node has changed since. A nil Value removes the
+// key, so that the node inherits it again.
+type Setting struct {
+	Path  string      `cbor:"1,keyasint"`
+	Key   string      `cbor:"2,keyasint"`
+	Value []byte      `cbor:"3,keyasint,omitempty"`
+	Base  core.Offset `cbor:"4,keyasint"`
+	Note  string      `cbor:"5,keyasint,omitempty"`
+}
+
+// Assign gives VMs of one fabric domain to a group. Base is the order number
+// of the group's previous assignment, zero for a new group. The offset of the
+// accepted record is the new order number.
+type Assign struct {
+	Group  core.GroupName `cbor:"1,keyasint"`
+	Zone   core.Zone      `cbor:"2,keyasint"`
+	Domain core.Domain    `cbor:"3,keyasint"`
+	VMs    []core.VMName  `cbor:"4,keyasint"`
+	Spec   core.Spec      `cbor:"5,keyasint"`
+	Base   core.Offset    `cbor:"6,keyasint"`
+}
+
+// Retire ends the service of a group's assignment Base. Its VMs stay held by
+// the group until a record Unload frees them.
+type Retire struct {
+	Group  core.GroupName `cbor:"1,keyasint"`
+	Base   core.Offset    `cbor:"2,keyasint"`
+	Reason string         `cbor:"3,keyasint"`
+}
+
+// Unload states that the VMs of a retired assignment hold nothing of it any
+// more: each was probed empty, or its process is gone.
+type Unload struct {
+	Group core.GroupName `cbor:"1,keyasint"`
+	Base  core.Offset    `cbor:"2,keyasint"`
+	VMs   []core.VMName  `cbor:"3,keyasint"`
+}
+
+// Claim claims the only run of a request that must not be repeated. Issued is
+// the caller's issue time. Digest is a hash of the request's content: a
+// resend with the same key and other content is refused.
+type Claim struct {
+	Org    core.OrgName    `cbor:"1,keyasint"`
+	Key    core.RequestKey `cbor:"2,keyasint"`
+	Issued time.Time       `cbor:"3,keyasint"`
+	Digest uint64          `cbor:"4,keyasint"`
+	Holder core.NodeName   `cbor:"5,keyasint"`
+}
+
+// Result records the outcome of a claimed request. Claim is the offset of the
+// claim. A result with Unknown set states that the request ran at most once.
+type Result struct {
+	Org     core.OrgName    `cbor:"1,keyasint"`
+	Key     core.RequestKey `cbor:"2,keyasint"`
+	Claim   core.Offset     `cbor:"3,keyasint"`
+	Unknown bool            `cbor:"4,keyasint,omitempty"`
+	Reply   core.Reply      `cbor:"5,keyasint,omitempty"`
+}
+
+// Release frees a claim whose holder surely did not dispatch.
+type Release struct {
+	Org   core.OrgName    `cbor:"1,keyasint"`
+	Key   core.RequestKey `cbor:"2,keyasint"`
+	Claim core.Offset     `cbor:"3,keyasint"`
+}
+
+// Snapshot is one chunk of an encoded state at offset At. Hash is the hash of
+// the whole encoded state.
+type Snapshot struct {
+	At    core.Offset `cbor:"1,keyasint"`
+	Hash  uint64      `cbor:"2,keyasint"`
+	Part  int         `cbor:"3,keyasint"`
+	Parts int         `cbor:"4,keyasint"`
+	Data  []byte      `cbor:"5,keyasint"`
+}
+
+// Rule turns on a rule of the fold from this record on.
+type Rule struct {
+	Number uint16 `cbor:"1,keyasint"`
+}
+
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	opt := cbor.CoreDetEncOptions()
+	opt.Time = cbor.TimeRFC3339NanoUTC
+	enc, err := opt.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc
+}
+
+// Encode returns the deterministic encoding of the batch. It panics if the
+// batch can't be encoded, which no value of these types causes.
+func Encode(bat Batch) []byte {
+	out, err := encMode.Marshal(bat)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Decode reads a batch. Its error carries core.CodeRecordBad if data is not a
+// batch or was written by a newer version.
+func Decode(data []byte) (Batch, error) {
+	var bat Batch
+	err := cbor.Unmarshal(data, &bat)
+	if err != nil {
+		return Batch{}, core.Errorf(core.CodeRecordBad, "log entry is not a batch: %v", err)
+	}
+	if bat.Version > Version {
+		return bat, core.Errorf(core.CodeRecordBad, "record version %d is newer than %d", bat.Version, Version)
+	}
+	return bat, nil
+}
