Add the settings tree and the fold of the log

The records need one place that decides on them. tree holds the settings as immutable values with inheritance; fold accepts or rejects each record by the state before it and keeps a hash up to date with every change.

recd.Decode ignored fields it did not know, so that an old program could fold a batch of the same version in another way than the new one: it now reads the version first and refuses unknown fields.

--- /dev/null
+++ b/core/fold/encode.go
@@ -0,0 +1,209 @@
+package fold
+
+import (
+	"cmp"
+	"container/heap"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"kumquathinge/core"
+	"kumquathinge/core/tree"
+)
+
+// formatVersion is the version of the encoded state.
+const formatVersion uint16 = 1
+
+// image is the encoded form of a State.
+type image struct {
+	Format  uint16            `cbor:"1,keyasint"`
+	Hash    uint64            `cbor:"2,keyasint"`
+	Offset  core.Offset       `cbor:"3,keyasint"`
+	Now     time.Time         `cbor:"4,keyasint"`
+	Horizon time.Time         `cbor:"5,keyasint"`
+	Rules   []uint16          `cbor:"6,keyasint"`
+	Nodes   []imageNode       `cbor:"7,keyasint"`
+	Groups  []core.Assignment `cbor:"8,keyasint"`
+	Holds   []Hold            `cbor:"9,keyasint"`
+	Claims  []*Claim          `cbor:"10,keyasint"`
+	Done    []Verdict         `cbor:"11,keyasint"`
+	Audit   []AuditLine       `cbor:"12,keyasint"`
+	Snaps   []snapProgress    `cbor:"13,keyasint"`
+	SnapAt  core.Offset       `cbor:"14,keyasint"`
+}
+
+type imageNode struct {
+	Path    tree.Path    `cbor:"1,keyasint"`
+	Version core.Offset  `cbor:"2,keyasint"`
+	Values  []imageValue `cbor:"3,keyasint"`
+}
+
+type imageValue struct {
+	Key     string      `cbor:"1,keyasint"`
+	Raw     []byte      `cbor:"2,keyasint"`
+	Version core.Offset `cbor:"3,keyasint"`
+}
+
+var encMode, decMode = mustModes()
+
+func mustModes() (cbor.EncMode, cbor.DecMode) {
+	opt := cbor.CoreDetEncOptions()
+	opt.Time = cbor.TimeRFC3339NanoUTC
+	enc, err := opt.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxArrayElements:  1 << 24,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+}
+
+func encode(val any) []byte {
+	out, err := encMode.Marshal(val)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Encode returns the encoded state. Equal states that one program version
+// folded have equal encodings.
+func (sta *State) Encode() []byte {
+	img := image{
+		Format: formatVersion, Hash: sta.Hash(), Offset: sta.offset, Now: sta.now, Horizon: sta.horizon,
+		Rules: sta.rules.Sorted(), Groups: sta.Assignments(), Holds: sta.Holds(),
+		Claims: sta.sortedClaims(), Audit: sta.audit, Snaps: sta.snaps, SnapAt: sta.snapAt,
+	}
+	for _, pth := range sta.tre.Paths() {
+		img.Nodes = append(img.Nodes, imageOf(sta.tre, pth))
+	}
+	for _, id := range sta.queue {
+		img.Done = append(img.Done, sta.done[id])
+	}
+	return encode(img)
+}
+
+func imageOf(tre *tree.Tree, pth tree.Path) imageNode {
+	nod := imageNode{Path: pth, Version: tre.Version(pth)}
+	for _, val := range tre.Own(pth) {
+		nod.Values = append(nod.Values, imageValue{Key: val.Key, Raw: val.Raw, Version: val.Version})
+	}
+	return nod
+}
+
+func (sta *State) sortedClaims() []*Claim {
+	out := slices.Collect(maps.Values(sta.claims))
+	slices.SortFunc(out, func(one, two *Claim) int {
+		return cmp.Or(cmp.Compare(one.Org, two.Org), cmp.Compare(one.Key, two.Key))
+	})
+	return out
+}
+
+// Decode returns the state that Encode encoded. Its error carries
+// core.CodeSnapshotBad if data is damaged or needs a newer program.
+func Decode(data []byte) (*State, error) { return DecodeFor(Newest, data) }
+
+// DecodeFor is Decode for a program that knows the given versions and rules.
+func DecodeFor(prg Program, data []byte) (*State, error) {
+	var img image
+	err := decMode.Unmarshal(data, &img)
+	if err != nil {
+		return nil, core.Errorf(core.CodeSnapshotBad, "encoded state can't be read: %v", err)
+	}
+	if img.Format != formatVersion {
+		return nil, core.Errorf(core.CodeSnapshotBad, "encoded state has format %d, this program reads %d", img.Format, formatVersion)
+	}
+	sta := NewFor(prg)
+	for _, step := range []func(image) error{sta.loadRules, sta.loadTree, sta.loadGroups, sta.loadClaims, sta.loadMemory} {
+		err = step(img)
+		if err != nil {
+			return nil, err
+		}
+	}
+	sta.sum = sta.total()
+	if got := sta.Hash(); got != img.Hash {
+		return nil, core.Errorf(core.CodeSnapshotBad, "encoded state at offset %d has hash %016x, not the %016x that it states",
+			img.Offset, got, img.Hash)
+	}
+	return sta, nil
+}
+
+func (sta *State) loadRules(img image) error {
+	sta.offset = img.Offset
+	sta.now = img.Now.UTC()
+	sta.horizon = img.Horizon.UTC()
+	sta.snaps = img.Snaps
+	sta.snapAt = img.SnapAt
+	for _, num := range img.Rules {
+		if num > sta.prg.Rules {
+			return core.Errorf(core.CodeSnapshotBad, "encoded state has rule %d, this program knows up to %d: upgrade this program", num, sta.prg.Rules)
+		}
+		sta.rules.Add(num)
+	}
+	return nil
+}
+
+func (sta *State) loadTree(img image) error {
+	bld := tree.NewBuilder()
+	for _, nod := range img.Nodes {
+		bld.Node(nod.Path, nod.Version)
+		for _, val := range nod.Values {
+			err := bld.Value(nod.Path, val.Key, val.Raw, val.Version)
+			if err != nil {
+				return core.Errorf(core.CodeSnapshotBad, "encoded state has a bad setting: %v", err)
+			}
+		}
+	}
+	sta.tre = bld.Tree()
+	return nil
+}
+
+func (sta *State) loadGroups(img image) error {
+	for _, asg := range img.Groups {
+		sta.groups[asg.Group] = asg
+	}
+	for _, hld := range img.Holds {
+		if _, ok := sta.groups[hld.Group]; !ok {
+			return core.Errorf(core.CodeSnapshotBad, "encoded state holds VM %q for no group", hld.VM)
+		}
+		sta.holds[hld.VM] = hld
+	}
+	return nil
+}
+
+func (sta *State) loadClaims(img image) error {
+	for _, clm := range img.Claims {
+		if clm == nil {
+			return core.Errorf(core.CodeSnapshotBad, "encoded state has an empty claim")
+		}
+		clm.Issued = clm.Issued.UTC()
+		key := claimKey{org: clm.Org, key: clm.Key}
+		sta.claims[key] = clm
+		sta.expiry = append(sta.expiry, expiryItem{at: clm.Issued, key: key})
+	}
+	heap.Init(&sta.expiry)
+	return nil
+}
+
+func (sta *State) loadMemory(img image) error {
+	for _, ver := range img.Done {
+		sta.done[ver.Record] = ver
+		sta.queue = append(sta.queue, ver.Record)
+	}
+	for idx := range img.Audit {
+		img.Audit[idx].At = img.Audit[idx].At.UTC()
+		sta.done[img.Audit[idx].Record] = img.Audit[idx].verdict()
+	}
+	sta.audit = img.Audit
+	if len(sta.done) != len(img.Done)+len(img.Audit) {
+		return core.Errorf(core.CodeSnapshotBad, "encoded state has two verdicts on one record")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/fold/types.go
@@ -0,0 +1,100 @@
+package fold
+
+import (
+	"time"
+
+	"kumquathinge/core"
+)
+
+// Kinds of record, as verdicts and audit lines name them.
+const (
+	KindSetting  = "setting"
+	KindAssign   = "assign"
+	KindRetire   = "retire"
+	KindUnload   = "unload"
+	KindClaim    = "claim"
+	KindResult   = "result"
+	KindRelease  = "release"
+	KindSnapshot = "snapshot"
+	KindRule     = "rule"
+	KindBatch    = "batch"
+)
+
+// Verdict tells what the fold made of a record. Code is core.CodeOK for an
+// accepted record. Offset is that of the entry that held the record. The
+// verdict on a repeated record has core.CodeDuplicateRecord; Outcome returns
+// the verdict on the first.
+type Verdict struct {
+	Record core.RecordID `cbor:"1,keyasint"`
+	Kind   string        `cbor:"2,keyasint"`
+	By     string        `cbor:"3,keyasint,omitempty"`
+	Code   core.Code     `cbor:"4,keyasint,omitempty"`
+	Detail string        `cbor:"5,keyasint,omitempty"`
+	Offset core.Offset   `cbor:"6,keyasint"`
+}
+
+// Accepted reports whether the record took effect.
+func (ver Verdict) Accepted() bool { return ver.Code == core.CodeOK }
+
+// Err returns nil for an accepted record and else an error with the verdict's
+// code.
+func (ver Verdict) Err() error {
+	if ver.Accepted() {
+		return nil
+	}
+	return core.Errorf(ver.Code, "record %s rejected at offset %d: %s", ver.Record, ver.Offset, ver.Detail)
+}
+
+// AuditLine is one accepted or rejected change of the settings or the
+// assignments. Subject is the settings path or the group. Old and New are
+// shortened if they are long.
+type AuditLine struct {
+	Offset  core.Offset   `json:"offset" cbor:"1,keyasint"`
+	At      time.Time     `json:"at" cbor:"2,keyasint"`
+	Record  core.RecordID `json:"record" cbor:"3,keyasint"`
+	By      string        `json:"by" cbor:"4,keyasint"`
+	Kind    string        `json:"kind" cbor:"5,keyasint"`
+	Subject string        `json:"subject" cbor:"6,keyasint"`
+	Key     string        `json:"key,omitempty" cbor:"7,keyasint,omitempty"`
+	Old     string        `json:"old,omitempty" cbor:"8,keyasint,omitempty"`
+	New     string        `json:"new,omitempty" cbor:"9,keyasint,omitempty"`
+	Note    string        `json:"note,omitempty" cbor:"10,keyasint,omitempty"`
+	Code    core.Code     `json:"code" cbor:"11,keyasint,omitempty"`
+	Detail  string        `json:"detail,omitempty" cbor:"12,keyasint,omitempty"`
+}
+
+// Hold states that a VM belongs to a group since the assignment Order. A hold
+// whose order is older than the group's assignment is what an earlier
+// assignment has not yet unloaded.
+type Hold struct {
+	VM    core.VMName    `cbor:"1,keyasint"`
+	Group core.GroupName `cbor:"2,keyasint"`
+	Order core.Offset    `cbor:"3,keyasint"`
+}
+
+// Claim is the accepted claim of a request that must not be repeated. Issued
+// is the latest issue time with which the key was seen. Outcome is nil while
+// the request is in progress.
+type Claim struct {
+	Org     core.OrgName    `cbor:"1,keyasint"`
+	Key     core.RequestKey `cbor:"2,keyasint"`
+	Offset  core.Offset     `cbor:"3,keyasint"`
+	Record  core.RecordID   `cbor:"4,keyasint"`
+	Holder  core.NodeName   `cbor:"5,keyasint"`
+	Digest  uint64          `cbor:"6,keyasint"`
+	Issued  time.Time       `cbor:"7,keyasint"`
+	Outcome *Outcome        `cbor:"8,keyasint,omitempty"`
+}
+
+// Outcome is the recorded outcome of a claimed request. Unknown states that
+// it ran at most once.
+type Outcome struct {
+	Offset  core.Offset `cbor:"1,keyasint"`
+	Unknown bool        `cbor:"2,keyasint,omitempty"`
+	Reply   core.Reply  `cbor:"3,keyasint"`
+}
+
+type claimKey struct {
+	org core.OrgName
+	key core.RequestKey
+}
--- a/core/recd/recd.go
+++ b/core/recd/recd.go
@@ -115,7 +115,30 @@
 	Number uint16 `cbor:"1,keyasint"`
 }
 
-var encMode = mustEncMode()
+// Limits of a batch of this version, and of the header of any version.
+const (
+	maxRecords  = 1 << 16
+	maxNesting  = 16
+	maxElements = 1<<31 - 1
+	maxLevels   = 1<<16 - 1
+)
+
+// header is the part of a batch that every version has.
+type header struct {
+	Version uint16 `cbor:"1,keyasint"`
+}
+
+var (
+	encMode    = mustEncMode()
+	headerMode = mustDecMode(cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxLevels})
+	batchMode  = mustDecMode(cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		MaxArrayElements:  maxRecords,
+		MaxNestedLevels:   maxNesting,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	})
+)
 
 func mustEncMode() cbor.EncMode {
 	opt := cbor.CoreDetEncOptions()
@@ -127,8 +150,18 @@
 	return enc
 }
 
+func mustDecMode(opt cbor.DecOptions) cbor.DecMode {
+	dec, err := opt.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return dec
+}
+
 // Encode returns the deterministic encoding of the batch. It panics if the
-// batch can't be encoded, which no value of these types causes.
+// batch can't be encoded, which no value of these types causes. Decode may
+// refuse the result if a string is not UTF-8 or a time is out of the range of
+// RFC 3339.
 func Encode(bat Batch) []byte {
 	out, err := encMode.Marshal(bat)
 	if err != nil {
@@ -138,15 +171,26 @@
 }
 
 // Decode reads a batch. Its error carries core.CodeRecordBad if data is not a
-// batch or was written by a newer version.
+// batch or was written by a newer version; in the second case the version of
+// the returned batch tells. Fields that the stated version does not have are
+// an error: a program that ignored them would read the batch in another way
+// than the one that wrote it.
 func Decode(data []byte) (Batch, error) {
-	var bat Batch
-	err := cbor.Unmarshal(data, &bat)
+	var hdr header
+	err := headerMode.Unmarshal(data, &hdr)
 	if err != nil {
 		return Batch{}, core.Errorf(core.CodeRecordBad, "log entry is not a batch: %v", err)
 	}
-	if bat.Version > Version {
-		return bat, core.Errorf(core.CodeRecordBad, "record version %d is newer than %d", bat.Version, Version)
+	if hdr.Version == 0 {
+		return Batch{}, core.Errorf(core.CodeRecordBad, "log entry states no record version")
+	}
+	if hdr.Version > Version {
+		return Batch{Version: hdr.Version}, core.Errorf(core.CodeRecordBad, "record version %d is newer than %d", hdr.Version, Version)
+	}
+	var bat Batch
+	err = batchMode.Unmarshal(data, &bat)
+	if err != nil {
+		return Batch{}, core.Errorf(core.CodeRecordBad, "log entry is not a batch of version %d: %v", hdr.Version, err)
 	}
 	return bat, nil
 }
--- /dev/null
+++ b/core/tree/config.go
@@ -0,0 +1,48 @@
+package tree
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Config reads the settings in force at one node. Its accessors return the
+// schema's default for a key that no node sets. They panic if the schema has
+// no such key or gives it another type, which is a programmer's error.
+type Config struct {
+	tre *Tree
+	pth Path
+}
+
+// Config returns the settings in force at path.
+func (tre *Tree) Config(pth Path) Config { return Config{tre: tre, pth: pth} }
+
+// Path returns the node whose settings cfg reads.
+func (cfg Config) Path() Path { return cfg.pth }
+
+// Bool returns the value of a key of TypeBool.
+func (cfg Config) Bool(key string) bool { return read[bool](cfg, key) }
+
+// Int returns the value of a key of TypeInt.
+func (cfg Config) Int(key string) int { return read[int](cfg, key) }
+
+// Float returns the value of a key of TypeFloat.
+func (cfg Config) Float(key string) float64 { return read[float64](cfg, key) }
+
+// Duration returns the value of a key of TypeDuration.
+func (cfg Config) Duration(key string) time.Duration { return read[time.Duration](cfg, key) }
+
+// String returns the value of a key of TypeString.
+func (cfg Config) String(key string) string { return read[string](cfg, key) }
+
+// Strings returns the value of a key of TypeStrings.
+func (cfg Config) Strings(key string) []string { return slices.Clone(read[[]string](cfg, key)) }
+
+func read[T any](cfg Config, key string) T {
+	slo, _ := cfg.tre.resolve(cfg.pth, key)
+	val, ok := slo.val.(T)
+	if !ok {
+		panic(fmt.Sprintf("tree: setting %q read as %T, but it is %T", key, val, slo.val))
+	}
+	return val
+}
--- /dev/null
+++ b/core/tree/schema.go
@@ -0,0 +1,189 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"kumquathinge/core"
+)
+
+const (
+	maxValueBytes = 16 << 10
+	maxStrings    = 256
+)
+
+var numberShape = regexp.MustCompile(`^-?[0-9]{1,18}(\.[0-9]{1,18})?([eE][+-]?[0-9]{1,2})?$`)
+
+var schemas = compileSchemas()
+
+func compileSchemas() map[string]*jsonschema.Schema {
+	out := make(map[string]*jsonschema.Schema, len(keys))
+	for _, key := range keys {
+		out[key.Name] = compileSchema(key)
+	}
+	return out
+}
+
+func compileSchema(key Key) *jsonschema.Schema {
+	url := key.Name + ".json"
+	cmp := jsonschema.NewCompiler()
+	cmp.AssertFormat()
+	cmp.RegisterFormat(&jsonschema.Format{Name: "span", Validate: spanCheck(key)})
+	err := cmp.AddResource(url, schemaOf(key))
+	if err != nil {
+		panic(err)
+	}
+	return cmp.MustCompile(url)
+}
+
+// schemaOf returns the JSON schema of the key's values.
+func schemaOf(key Key) map[string]any {
+	switch key.Type {
+	case TypeBool:
+		return map[string]any{"type": "boolean"}
+	case TypeInt:
+		return map[string]any{"type": "integer", "minimum": key.Min, "maximum": key.Max}
+	case TypeFloat:
+		return map[string]any{"type": "number", "minimum": key.Min, "maximum": key.Max}
+	case TypeDuration:
+		return map[string]any{"type": "string", "format": "span"}
+	case TypeString:
+		return map[string]any{"type": "string", "pattern": key.Pattern}
+	case TypeStrings:
+		return map[string]any{
+			"type": "array", "maxItems": float64(maxStrings), "uniqueItems": true,
+			"items": map[string]any{"type": "string", "pattern": key.Pattern, "minLength": 1.0},
+		}
+	}
+	panic("tree: unknown type " + string(key.Type))
+}
+
+// spanCheck returns a check of a duration against the bounds of the key.
+func spanCheck(key Key) func(any) error {
+	return func(val any) error {
+		str, ok := val.(string)
+		if !ok {
+			return nil
+		}
+		dur, err := time.ParseDuration(str)
+		if err != nil {
+			return fmt.Errorf("%q is not a duration such as 500ms", str)
+		}
+		if sec := dur.Seconds(); sec < key.Min || sec > key.Max {
+			return fmt.Errorf("%s is not between %v s and %v s", str, key.Min, key.Max)
+		}
+		return nil
+	}
+}
+
+// Validate reports whether raw may be the value of key at path; a nil raw,
+// which removes the key, may be. Its error carries core.CodeNoSuchNode for a
+// path of no known shape, core.CodeSettingUnknown for a key that is not in the
+// schema, and core.CodeSettingInvalid for a value of the wrong type, unit or
+// range or a key that has no place at path. The text names path and key.
+func Validate(pth Path, key string, raw []byte) error {
+	plc, err := pth.Place()
+	if err != nil {
+		return err
+	}
+	ent, ok := keyIndex[key]
+	if !ok {
+		return core.Errorf(core.CodeSettingUnknown, "%s: no setting is called %q", pth, key)
+	}
+	if !slices.Contains(ent.Where, plc) {
+		return core.Errorf(core.CodeSettingInvalid, "%s: %s can't be set at a node of kind %s", pth, key, plc)
+	}
+	if raw == nil {
+		return nil
+	}
+	_, err = parse(ent, raw)
+	if err != nil {
+		return core.Errorf(core.CodeSettingInvalid, "%s: %s: %v", pth, key, err)
+	}
+	return nil
+}
+
+// parse checks raw against the schema of the key and returns its Go value:
+// bool, int, float64, time.Duration, string or []string.
+func parse(key *Key, raw []byte) (any, error) {
+	if len(raw) > maxValueBytes {
+		return nil, fmt.Errorf("value has %d bytes, more than %d", len(raw), maxValueBytes)
+	}
+	val, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
+	if err != nil {
+		return nil, fmt.Errorf("value is not JSON: %w", err)
+	}
+	if !plainNumbers(val) {
+		return nil, fmt.Errorf("value %s has a number with too many digits", raw)
+	}
+	err = schemas[key.Name].Validate(val)
+	if err != nil {
+		return nil, fmt.Errorf("value %s is not a valid %s: %s", raw, key.Type, reason(err))
+	}
+	return convert(key.Type, raw)
+}
+
+// plainNumbers reports whether the numbers of val are short enough to be
+// compared exactly without much memory.
+func plainNumbers(val any) bool {
+	switch typ := val.(type) {
+	case json.Number:
+		return numberShape.MatchString(typ.String())
+	case []any:
+		return !slices.ContainsFunc(typ, func(elm any) bool { return !plainNumbers(elm) })
+	case map[string]any:
+		for _, elm := range typ {
+			if !plainNumbers(elm) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func convert(typ Type, raw []byte) (any, error) {
+	switch typ {
+	case TypeBool:
+		return decode[bool](raw)
+	case TypeInt:
+		num, err := decode[float64](raw)
+		return int(num), err
+	case TypeFloat:
+		return decode[float64](raw)
+	case TypeDuration:
+		str, err := decode[string](raw)
+		if err != nil {
+			return nil, err
+		}
+		return time.ParseDuration(str)
+	case TypeString:
+		return decode[string](raw)
+	case TypeStrings:
+		return decode[[]string](raw)
+	}
+	panic("tree: unknown type " + string(typ))
+}
+
+func decode[T any](raw []byte) (T, error) {
+	var out T
+	err := json.Unmarshal(raw, &out)
+	return out, err
+}
+
+// reason returns the innermost cause of a schema error on one line.
+func reason(err error) string {
+	ver, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		return err.Error()
+	}
+	for len(ver.Causes) > 0 {
+		ver = ver.Causes[0]
+	}
+	return ver.ErrorKind.LocalizedString(printer)
+}
