--- a/core/fold/rules.go
+++ b/core/fold/rules.go
@@ -36,11 +36,12 @@
 	Seen []int       `cbor:"4,keyasint"`
 }
 
-const maxSnapshotParts = 1 << 12
+// MaxSnapshotParts is the greatest number of chunks of a snapshot.
+const MaxSnapshotParts = 1 << 12
 
 // snapshot notes a chunk. The chunk's data is not part of the state.
 func (sta *State) snapshot(snp *recd.Snapshot) *core.Error {
-	if snp.Parts < 1 || snp.Parts > maxSnapshotParts || snp.Part < 0 || snp.Part >= snp.Parts || snp.At >= sta.offset {
+	if snp.Parts < 1 || snp.Parts > MaxSnapshotParts || snp.Part < 0 || snp.Part >= snp.Parts || snp.At >= sta.offset {
 		return core.Errorf(core.CodeSnapshotBad, "part %d of %d of a snapshot at offset %d can't be", snp.Part, snp.Parts, snp.At)
 	}
 	if snp.At <= sta.snapAt {
--- /dev/null
+++ b/core/tail/lanes.go
@@ -0,0 +1,220 @@
+package tail
+
+import (
+	"time"
+
+	"kumquathinge/core"
+	"kumquathinge/core/fold"
+)
+
+// logLane is the state of the reads of the log.
+type logLane struct {
+	busy   bool
+	sentAt time.Time
+	nextAt time.Time
+	fails  int
+	ok     bool
+	behind bool
+	first  core.Offset
+	next   core.Offset
+}
+
+// peerLane is the state of the calls to peers. Asked counts the peers asked
+// for a state since the gap was found.
+type peerLane struct {
+	busy   bool
+	nextAt time.Time
+	turn   int
+	asked  int
+	want   bool
+}
+
+// backoff returns the time before the try that follows fails failures.
+func backoff(tim Timings, fails int) time.Duration {
+	dur := tim.RetryMin
+	for ; fails > 1 && dur < tim.RetryMax; fails-- {
+		dur *= 2
+	}
+	return min(dur, tim.RetryMax)
+}
+
+func (fol *Follower) nextLog() {
+	if fol.log.busy || fol.sta.Err() != nil {
+		return
+	}
+	hurry := fol.props.waiting() && fol.ready && fol.gap == 0 && fol.log.fails == 0
+	if fol.now.Before(fol.log.nextAt) && !hurry {
+		return
+	}
+	from := fol.sta.Offset() + 1
+	if fol.gap != 0 {
+		if !fol.scanDue() {
+			return
+		}
+		from = fol.scan.pos
+	}
+	fol.log.busy = true
+	fol.log.sentAt = fol.now
+	fol.do(ReadLog{From: from, Max: fol.cfg.Timings.PageMax, Wait: fol.wait()})
+}
+
+// wait returns how long a read of the log may wait for an entry.
+func (fol *Follower) wait() time.Duration {
+	if !fol.ready || fol.gap != 0 {
+		return 0
+	}
+	return fol.cfg.Timings.ReadWait
+}
+
+func (fol *Follower) logRead(evt LogRead) {
+	fol.log.busy = false
+	if evt.Page.First > 0 {
+		fol.log.first = evt.Page.First
+	}
+	if evt.Page.Next > 0 {
+		fol.log.next = evt.Page.Next
+	}
+	switch {
+	case evt.Err == nil:
+		fol.logGood(evt)
+	case core.CodeOf(evt.Err) == core.CodeLogGap:
+		fol.logAnswered()
+		fol.gapFound(max(evt.Page.First, 1))
+	default:
+		fol.log.fails++
+		fol.setLogOK(false)
+		fol.log.nextAt = fol.now.Add(backoff(fol.cfg.Timings, fol.log.fails))
+		if fol.gap != 0 {
+			fol.askAll()
+		}
+	}
+}
+
+func (fol *Follower) logAnswered() {
+	fol.log.fails = 0
+	fol.setLogOK(true)
+	fol.log.nextAt = fol.now.Add(fol.cfg.Timings.ReadEvery)
+}
+
+func (fol *Follower) setLogOK(isOK bool) {
+	if fol.log.ok != isOK {
+		fol.log.ok = isOK
+		fol.do(Publish{})
+	}
+}
+
+func (fol *Follower) logGood(evt LogRead) {
+	fol.logAnswered()
+	if fol.gap != 0 {
+		fol.scanned(evt.Page)
+		return
+	}
+	fol.apply(evt.Page.Entries)
+	end := fol.sta.Offset() + 1
+	fol.log.behind = evt.Page.Next > 0 && evt.Page.Next < end
+	if evt.Page.Next > end {
+		fol.log.nextAt = fol.now
+		return
+	}
+	if fol.log.behind || fol.sta.Err() != nil {
+		return
+	}
+	if !fol.ready {
+		fol.ready = true
+		fol.do(Publish{})
+	}
+	fol.confirmed = evt.Sent
+}
+
+// gapFound notes that the entries behind the state are gone: the oldest kept
+// one is first.
+func (fol *Follower) gapFound(first core.Offset) {
+	if first <= fol.sta.Offset()+1 {
+		return
+	}
+	if fol.gap == 0 {
+		fol.do(Publish{})
+	}
+	fol.gap = first
+	fol.scan = nil
+	fol.askAll()
+}
+
+// askAll asks every peer for its state once more.
+func (fol *Follower) askAll() {
+	fol.peers.want = true
+	fol.peers.asked = 0
+}
+
+// logSilent reports whether the log has not answered for too long.
+func (fol *Follower) logSilent() bool {
+	if fol.log.fails > 0 {
+		return true
+	}
+	return fol.log.busy && fol.now.Sub(fol.log.sentAt) > fol.cfg.Timings.ReadBound
+}
+
+func (fol *Follower) nextPeer() {
+	lan := &fol.peers
+	if lan.busy || fol.tick.Peers == 0 || fol.now.Before(lan.nextAt) || fol.sta.Err() != nil {
+		return
+	}
+	starting := fol.sta.Offset() == 0 && !fol.ready && lan.asked < fol.tick.Peers
+	if starting || lan.want {
+		lan.busy = true
+		lan.asked++
+		fol.do(AskState{Peer: fol.turn()})
+		return
+	}
+	if !fol.logSilent() {
+		return
+	}
+	lan.busy = true
+	fol.do(ReadPeer{Peer: fol.turn(), From: fol.sta.Offset() + 1, Max: fol.cfg.Timings.PageMax})
+}
+
+// turn returns the next peer in turn.
+func (fol *Follower) turn() int {
+	fol.peers.turn++
+	return fol.peers.turn % fol.tick.Peers
+}
+
+func (fol *Follower) peerRead(evt PeerRead) {
+	fol.peers.busy = false
+	fol.peers.nextAt = fol.now.Add(fol.cfg.Timings.RelayEvery)
+	if core.CodeOf(evt.Err) == core.CodeLogGap {
+		fol.askAll()
+		return
+	}
+	if evt.Err != nil {
+		return
+	}
+	before := fol.sta.Offset()
+	fol.apply(evt.Page.Entries)
+	if fol.sta.Offset() > before && evt.Page.Next > fol.sta.Offset()+1 {
+		fol.peers.nextAt = fol.now
+	}
+}
+
+func (fol *Follower) stateRead(evt StateRead) {
+	fol.peers.busy = false
+	fol.peers.nextAt = fol.now.Add(fol.cfg.Timings.RelayEvery)
+	if fol.peers.asked >= fol.tick.Peers {
+		fol.peers.want = false
+	}
+	if evt.Err != nil {
+		return
+	}
+	sta, err := fold.DecodeFor(fol.cfg.Program, evt.Data)
+	if err != nil {
+		return
+	}
+	gap := fol.gap
+	if !fol.adopt(sta) {
+		return
+	}
+	fol.peers.want = false
+	if gap > sta.Offset()+1 {
+		fol.gapFound(gap)
+	}
+}
