--- a/core/code.go
+++ b/core/code.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
+	"time"
 )
 
 // Code is a numbered result code. Codes are stable: a number is never reused.
@@ -82,6 +84,7 @@
 type Error struct {
 	code   Code
 	detail string
+	after  time.Duration
 }
 
 var _ error = (*Error)(nil)
@@ -117,3 +120,44 @@
 
 // NotRun reports whether the code states that the request surely did not run.
 func (cod Code) NotRun() bool { return cod >= 100 && cod < 200 }
+
+// String returns the number.
+func (cod Code) String() string { return strconv.Itoa(int(cod)) }
+
+// ParseCode reads a number as String writes it. It reports whether txt is one.
+func ParseCode(txt string) (Code, bool) {
+	num, err := strconv.ParseUint(txt, 10, 16)
+	return Code(num), err == nil
+}
+
+// AfterError returns a copy of err that also states after which time the
+// caller may try again.
+func AfterError(err *Error, after time.Duration) *Error {
+	cpy := *err
+	cpy.after = after
+	return &cpy
+}
+
+// After returns the time after which the caller may try again, zero if the
+// error does not state it.
+func (err *Error) After() time.Duration { return err.after }
+
+// AfterOf returns the time to retry after that err carries anywhere in its
+// chain, zero if none.
+func AfterOf(err error) time.Duration {
+	var ce *Error
+	if errors.As(err, &ce) {
+		return ce.after
+	}
+	return 0
+}
+
+// Failure returns the last part of a job that ended with err.
+func Failure(err error) Part {
+	prt := Part{End: true, Code: CodeOf(err), Detail: err.Error(), After: AfterOf(err)}
+	var ce *Error
+	if errors.As(err, &ce) {
+		prt.Detail = ce.detail
+	}
+	return prt
+}
