Let beats tell the requests in progress by group

Cause: a group may only be unloaded when no node of its zone uses it. Change: field Groups of core.Beat. Conclusion: the zone's proposer can add them up.

--- a/core/peer.go
+++ b/core/peer.go
@@ -5,21 +5,23 @@
 	"time"
 )
 
-// Beat is what an entry VM tells its peers of itself.
+// Beat is what an entry VM tells its peers of itself. Groups counts its
+// requests in progress by group.
 type Beat struct {
-	Node     NodeName         `cbor:"1,keyasint"`
-	Zone     Zone             `cbor:"2,keyasint"`
-	Addr     string           `cbor:"3,keyasint"`
-	Run      Incarnation      `cbor:"4,keyasint"`
-	Seq      uint64           `cbor:"5,keyasint"`
-	Applied  Offset           `cbor:"6,keyasint"`
-	Hash     uint64           `cbor:"7,keyasint"`
-	HashAt   Offset           `cbor:"8,keyasint"`
-	LogOK    bool             `cbor:"9,keyasint"`
-	Stopping bool             `cbor:"10,keyasint"`
-	InFlight int              `cbor:"11,keyasint"`
-	Usage    map[OrgName]Rate `cbor:"12,keyasint,omitempty"`
-	Suspects []Suspect        `cbor:"13,keyasint,omitempty"`
+	Node     NodeName          `cbor:"1,keyasint"`
+	Zone     Zone              `cbor:"2,keyasint"`
+	Addr     string            `cbor:"3,keyasint"`
+	Run      Incarnation       `cbor:"4,keyasint"`
+	Seq      uint64            `cbor:"5,keyasint"`
+	Applied  Offset            `cbor:"6,keyasint"`
+	Hash     uint64            `cbor:"7,keyasint"`
+	HashAt   Offset            `cbor:"8,keyasint"`
+	LogOK    bool              `cbor:"9,keyasint"`
+	Stopping bool              `cbor:"10,keyasint"`
+	InFlight int               `cbor:"11,keyasint"`
+	Usage    map[OrgName]Rate  `cbor:"12,keyasint,omitempty"`
+	Suspects []Suspect         `cbor:"13,keyasint,omitempty"`
+	Groups   map[GroupName]int `cbor:"14,keyasint,omitempty"`
 }
 
 // Rate is an organisation's demand at one node, per second, and its requests
