--- /dev/null
+++ b/core/admit/machine.go
@@ -0,0 +1,220 @@
+package admit
+
+import (
+	"fmt"
+	"time"
+
+	"kumquathinge/core"
+)
+
+// Machine is the admission state of one entry VM. Use New. A Machine is not
+// safe for concurrent use.
+type Machine struct {
+	cfg     Config
+	orgs    map[core.OrgName]*org
+	pools   map[core.ModelName]*pool
+	entries map[uint64]*entry
+	acts    []Action
+}
+
+// New returns a Machine without capacity: items wait until SetCapacity.
+func New(cfg Config) *Machine {
+	return &Machine{
+		cfg:     cfg.withDefaults(),
+		orgs:    make(map[core.OrgName]*org),
+		pools:   make(map[core.ModelName]*pool),
+		entries: make(map[uint64]*entry),
+	}
+}
+
+// Offer takes in an item and returns the actions that follow, for this item
+// or others. Offer panics if the cost is not positive or the ID is in use.
+func (mac *Machine) Offer(itm Item, now time.Time) []Action {
+	if !(itm.Cost > 0) {
+		panic(fmt.Sprintf("admit: cost %v of item %d", itm.Cost, itm.ID))
+	}
+	if _, ok := mac.entries[itm.ID]; ok {
+		panic(fmt.Sprintf("admit: item %d offered twice", itm.ID))
+	}
+	og := mac.org(itm.Org)
+	og.demand.add(itm.Cost, mac.cfg.UsageTime, now)
+	itm.Priority = min(max(itm.Priority, 0), og.limits.Priority, mac.cfg.Priorities-1)
+	pol := mac.pool(itm.Model)
+	flw := pol.flow(og, mac.cfg.Priorities)
+	if act, late := mac.late(pol, flw, itm, now); late {
+		return mac.flush(act)
+	}
+	if wait := og.take(itm.Cost, mac.cfg.Burst, now); wait > 0 {
+		return mac.flush(Refuse{ID: itm.ID, Code: core.CodeOrgLimit, After: wait})
+	}
+	ent := &entry{item: itm, org: og, pool: pol, flow: flw}
+	mac.entries[itm.ID] = ent
+	pol.push(ent)
+	mac.bound(pol, flw)
+	mac.fill(pol, now)
+	return mac.flush()
+}
+
+// late returns the refusal of an item that can't end before its deadline. An
+// idle model takes any item whose deadline is still to come, so that an
+// estimate that is too high gets corrected.
+func (mac *Machine) late(pol *pool, flw *flow, itm Item, now time.Time) (Refuse, bool) {
+	if itm.Deadline.IsZero() {
+		return Refuse{}, false
+	}
+	left := itm.Deadline.Sub(now)
+	if left > 0 && pol.running == 0 && pol.waiting == 0 {
+		return Refuse{}, false
+	}
+	need := seconds(pol.delay(flw, flw.ahead(itm.Priority)) + pol.service(itm.Cost))
+	if need < left {
+		return Refuse{}, false
+	}
+	after := max(need-left, time.Millisecond)
+	return Refuse{ID: itm.ID, Code: core.CodeDeadline, After: after}, true
+}
+
+// bound refuses an item if the queue is over one of its bounds.
+func (mac *Machine) bound(pol *pool, flw *flow) {
+	if flw.items > mac.cfg.MaxPerOrg {
+		mac.drop(flw.bottom())
+	}
+	if pol.waiting > mac.cfg.MaxQueued {
+		mac.drop(pol.longest().bottom())
+	}
+}
+
+func (mac *Machine) drop(ent *entry) {
+	after := seconds(ent.pool.delay(ent.flow, ent.flow.backlog))
+	mac.refuse(ent, core.CodeQueueFull, max(after, time.Millisecond))
+}
+
+// refuse answers a waiting item and gives back what it was charged.
+func (mac *Machine) refuse(ent *entry, code core.Code, after time.Duration) {
+	ent.pool.remove(ent)
+	ent.org.settle(-ent.item.Cost)
+	delete(mac.entries, ent.item.ID)
+	mac.acts = append(mac.acts, Refuse{ID: ent.item.ID, Code: code, After: after})
+}
+
+// fill admits waiting items while slots are free.
+func (mac *Machine) fill(pol *pool, now time.Time) {
+	for pol.running < pol.slots {
+		ent := pol.pick(mac.cfg.Lead)
+		if ent == nil {
+			return
+		}
+		if mac.expired(ent, now) {
+			mac.refuse(ent, core.CodeDeadline, time.Millisecond)
+			continue
+		}
+		mac.admit(ent, now)
+	}
+}
+
+// expired reports whether a waiting item can't end before its deadline. While
+// nothing runs, only the deadline itself counts.
+func (mac *Machine) expired(ent *entry, now time.Time) bool {
+	if ent.item.Deadline.IsZero() {
+		return false
+	}
+	left := ent.item.Deadline.Sub(now)
+	if ent.pool.running == 0 {
+		return left <= 0
+	}
+	return seconds(ent.pool.service(ent.item.Cost)) >= left
+}
+
+func (mac *Machine) admit(ent *entry, now time.Time) {
+	ent.pool.remove(ent)
+	ent.flow.tag += ent.item.Cost / ent.org.weight()
+	ent.running = true
+	ent.started = now
+	ent.pool.running++
+	ent.org.running++
+	mac.acts = append(mac.acts, Admit{ID: ent.item.ID})
+}
+
+// Done tells that an admitted item has ended and used so many tokens, zero if
+// it did not run after all. Done panics if the item was not admitted.
+func (mac *Machine) Done(id uint64, tokens int, now time.Time) []Action {
+	ent, ok := mac.entries[id]
+	if !ok || !ent.running {
+		panic(fmt.Sprintf("admit: item %d is done but was not admitted", id))
+	}
+	if tokens > 0 {
+		ent.pool.observe(float64(tokens), now.Sub(ent.started), mac.cfg.Gain)
+	}
+	mac.end(ent, float64(tokens), now)
+	return mac.flush()
+}
+
+// Cancel forgets an item that waits or runs, and ignores any other ID. It
+// returns no action for the item itself.
+func (mac *Machine) Cancel(id uint64, now time.Time) []Action {
+	ent, ok := mac.entries[id]
+	switch {
+	case !ok:
+	case ent.running:
+		mac.end(ent, ent.item.Cost, now)
+	default:
+		ent.pool.remove(ent)
+		ent.org.settle(-ent.item.Cost)
+		delete(mac.entries, id)
+	}
+	return mac.flush()
+}
+
+func (mac *Machine) end(ent *entry, tokens float64, now time.Time) {
+	diff := tokens - ent.item.Cost
+	ent.flow.tag += diff / ent.org.weight()
+	ent.org.settle(diff)
+	ent.pool.running--
+	ent.org.running--
+	delete(mac.entries, ent.item.ID)
+	mac.fillAll(ent, now)
+}
+
+// fillAll admits after ent has ended: at its model, and at the others if its
+// organisation was held back by its concurrency.
+func (mac *Machine) fillAll(ent *entry, now time.Time) {
+	mac.fill(ent.pool, now)
+	if ent.org.limits.Concurrency <= 0 || ent.org.waiting == 0 {
+		return
+	}
+	for _, pol := range mac.sorted() {
+		mac.fill(pol, now)
+	}
+}
+
+// Tick refuses the waiting items whose deadline can't be met any more and
+// admits what limits held back. Call it every 100 ms or so.
+func (mac *Machine) Tick(now time.Time) []Action {
+	for _, pol := range mac.sorted() {
+		for _, ent := range pol.stale(mac, now) {
+			mac.refuse(ent, core.CodeDeadline, time.Millisecond)
+		}
+		mac.fill(pol, now)
+	}
+	return mac.flush()
+}
+
+func (pol *pool) stale(mac *Machine, now time.Time) []*entry {
+	var out []*entry
+	for _, flw := range pol.active {
+		for _, que := range flw.queues {
+			for _, ent := range que {
+				if mac.expired(ent, now) {
+					out = append(out, ent)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (mac *Machine) flush(acts ...Action) []Action {
+	out := append(mac.acts, acts...)
+	mac.acts = nil
+	return out
+}
--- /dev/null
+++ b/core/admit/pool.go
@@ -0,0 +1,240 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"kumquathinge/core"
+)
+
+// entry is an item that waits or runs.
+type entry struct {
+	item    Item
+	org     *org
+	pool    *pool
+	flow    *flow
+	running bool
+	started time.Time
+}
+
+// flow is one organisation's waiting items for one model.
+type flow struct {
+	org     *org
+	queues  [][]*entry // by priority, oldest first
+	items   int
+	backlog float64 // tokens
+	tag     float64 // tokens per weight
+	index   int     // in pool.active, or -1
+}
+
+// top returns the most urgent priority that has items. It panics if there is
+// none.
+func (flw *flow) top() int {
+	for pri := len(flw.queues) - 1; pri >= 0; pri-- {
+		if len(flw.queues[pri]) > 0 {
+			return pri
+		}
+	}
+	panic("admit: top of an empty flow")
+}
+
+// bottom returns the newest item of the least urgent priority. It panics if
+// there is none.
+func (flw *flow) bottom() *entry {
+	for _, que := range flw.queues {
+		if len(que) > 0 {
+			return que[len(que)-1]
+		}
+	}
+	panic("admit: bottom of an empty flow")
+}
+
+// ahead returns the tokens that wait at the priority or a more urgent one.
+func (flw *flow) ahead(pri int) float64 {
+	if pri == 0 {
+		return flw.backlog
+	}
+	var sum float64
+	for _, que := range flw.queues[pri:] {
+		for _, ent := range que {
+			sum += ent.item.Cost
+		}
+	}
+	return sum
+}
+
+// pool is one model's slots, its waiting items and its observed service.
+type pool struct {
+	model   core.ModelName
+	slots   int
+	running int
+	waiting int
+	backlog float64 // tokens
+	weights float64 // sum over the active flows
+	vtime   float64
+	flows   map[core.OrgName]*flow
+	active  []*flow // those with waiting items
+	meanDur float64 // seconds that an item runs
+	meanTok float64 // tokens of an item
+}
+
+func (pol *pool) flow(og *org, priorities int) *flow {
+	flw, ok := pol.flows[og.name]
+	if !ok {
+		flw = &flow{org: og, queues: make([][]*entry, priorities), index: -1}
+		pol.flows[og.name] = flw
+	}
+	return flw
+}
+
+func (pol *pool) push(ent *entry) {
+	flw := ent.flow
+	if flw.items == 0 {
+		flw.tag = math.Max(flw.tag, pol.vtime)
+		flw.index = len(pol.active)
+		pol.active = append(pol.active, flw)
+		pol.weights += flw.org.weight()
+	}
+	pri := ent.item.Priority
+	flw.queues[pri] = append(flw.queues[pri], ent)
+	flw.items++
+	flw.backlog += ent.item.Cost
+	flw.org.waiting++
+	pol.waiting++
+	pol.backlog += ent.item.Cost
+}
+
+// remove takes a waiting item out of its queue.
+func (pol *pool) remove(ent *entry) {
+	flw := ent.flow
+	pri := ent.item.Priority
+	flw.queues[pri] = without(flw.queues[pri], ent)
+	flw.items--
+	flw.backlog -= ent.item.Cost
+	flw.org.waiting--
+	pol.waiting--
+	pol.backlog -= ent.item.Cost
+	if flw.items > 0 {
+		return
+	}
+	flw.backlog = 0
+	last := len(pol.active) - 1
+	pol.active[flw.index] = pol.active[last]
+	pol.active[flw.index].index = flw.index
+	pol.active[last] = nil
+	pol.active = pol.active[:last]
+	flw.index = -1
+	pol.weights -= flw.org.weight()
+	if last == 0 {
+		pol.weights, pol.backlog = 0, 0
+	}
+}
+
+func without(que []*entry, ent *entry) []*entry {
+	if que[0] == ent {
+		que[0] = nil
+		return que[1:]
+	}
+	for idx, oth := range que {
+		if oth == ent {
+			copy(que[idx:], que[idx+1:])
+			que[len(que)-1] = nil
+			return que[:len(que)-1]
+		}
+	}
+	panic("admit: item is not in its queue")
+}
+
+// pick returns the item to admit next, or nil if none may run. It advances
+// the virtual time to the smallest tag.
+func (pol *pool) pick(lead float64) *entry {
+	least := math.Inf(1)
+	for _, flw := range pol.active {
+		if flw.org.blocked() {
+			flw.tag = math.Max(flw.tag, pol.vtime)
+			continue
+		}
+		least = math.Min(least, flw.tag)
+	}
+	if math.IsInf(least, 1) {
+		return nil
+	}
+	pol.vtime = math.Max(pol.vtime, least)
+	var best *flow
+	for _, flw := range pol.active {
+		if flw.org.blocked() {
+			continue
+		}
+		if best == nil || before(flw, best, least+lead) {
+			best = flw
+		}
+	}
+	return best.queues[best.top()][0]
+}
+
+// before reports whether flow a goes before flow b. Up to the bound, priority
+// comes before the tag.
+func before(flw, oth *flow, bound float64) bool {
+	fin, oin := flw.tag <= bound, oth.tag <= bound
+	if fin != oin {
+		return fin
+	}
+	if fin {
+		if fpr, opr := flw.top(), oth.top(); fpr != opr {
+			return fpr > opr
+		}
+	}
+	if flw.tag != oth.tag {
+		return flw.tag < oth.tag
+	}
+	return flw.org.name < oth.org.name
+}
+
+// longest returns the flow with the largest backlog for its weight.
+func (pol *pool) longest() *flow {
+	var best *flow
+	var most float64
+	for _, flw := range pol.active {
+		if val := flw.backlog / flw.org.weight(); best == nil || val > most {
+			best, most = flw, val
+		}
+	}
+	return best
+}
+
+// observe takes in how long an item ran.
+func (pol *pool) observe(tokens float64, dur time.Duration, gain float64) {
+	if pol.meanTok == 0 {
+		pol.meanTok, pol.meanDur = tokens, dur.Seconds()
+		return
+	}
+	pol.meanTok += gain * (tokens - pol.meanTok)
+	pol.meanDur += gain * (dur.Seconds() - pol.meanDur)
+}
+
+// service returns the seconds that an item of the cost is expected to run,
+// zero if nothing was observed.
+func (pol *pool) service(cost float64) float64 {
+	if pol.meanTok <= 0 {
+		return 0
+	}
+	return cost * pol.meanDur / pol.meanTok
+}
+
+// delay returns the seconds that an item of flw is expected to wait behind
+// the tokens ahead of it, zero if nothing was observed or no slot exists. An
+// organisation gets at least its weight's part of the rate, and never waits
+// longer than for everything that waits.
+func (pol *pool) delay(flw *flow, ahead float64) float64 {
+	if pol.meanTok <= 0 || pol.slots == 0 || pol.running < pol.slots {
+		return 0
+	}
+	wgt := flw.org.weight()
+	sum := pol.weights
+	if flw.items == 0 {
+		sum += wgt
+	}
+	lag := math.Max(0, flw.tag-pol.vtime) * wgt
+	mine := (ahead + lag) * sum / wgt
+	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanTok / float64(pol.slots)
+}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,161 @@
+package queue_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"kumquathinge/core"
+	"kumquathinge/core/admit"
+	"kumquathinge/queue"
+)
+
+// start runs a Queue with one slot for model "m" and stops it at the end.
+func start(t *testing.T, cfg queue.Config) (*queue.Queue, func()) {
+	t.Helper()
+	cfg.Tick = time.Millisecond
+	que := queue.New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- que.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	t.Cleanup(stop)
+	que.SetCapacity("m", 1)
+	return que, stop
+}
+
+func waiting(que *queue.Queue, num int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		for _, dep := range que.Depths() {
+			if dep.Waiting == num {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%d waiting not yet seen", num)
+	}
+}
+
+// TestEnterAnswers drives one job that waits behind another to each of its
+// ends, and checks that the slot is free afterwards.
+func TestEnterAnswers(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		end      func(que *queue.Queue, first *queue.Ticket, leave, stop func())
+		want     core.Code
+	}{
+		{name: "admitted once the first is done", want: core.CodeOK,
+			end: func(_ *queue.Queue, first *queue.Ticket, _, _ func()) { first.Done(10) }},
+		{name: "caller gone", want: core.CodeCallerGone,
+			end: func(_ *queue.Queue, _ *queue.Ticket, leave, _ func()) { leave() }},
+		{name: "queue stops", want: core.CodeDraining,
+			end: func(_ *queue.Queue, _ *queue.Ticket, _, stop func()) { stop() }},
+		{name: "deadline passes", deadline: 50 * time.Millisecond, want: core.CodeDeadline,
+			end: func(*queue.Queue, *queue.Ticket, func(), func()) {}},
+		{name: "capacity drops and the first is done", want: core.CodeCallerGone,
+			end: func(que *queue.Queue, first *queue.Ticket, leave, _ func()) {
+				que.SetCapacity("m", 0)
+				first.Done(10)
+				leave()
+			}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			que, stop := start(t, queue.Config{})
+			first, err := que.Enter(context.Background(), core.Job{Model: "m"})
+			assert.NilError(t, err)
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			job := core.Job{Model: "m"}
+			if tt.deadline > 0 {
+				job.Deadline = time.Now().Add(tt.deadline)
+			}
+			got := make(chan error, 1)
+			go func() {
+				_, enterErr := que.Enter(ctx, job)
+				got <- enterErr
+			}()
+			if tt.deadline == 0 {
+				poll.WaitOn(t, waiting(que, 1), poll.WithDelay(time.Millisecond))
+			}
+			tt.end(que, first, leave, stop)
+			assert.Equal(t, core.CodeOf(<-got), tt.want)
+		})
+	}
+}
+
+func TestEnterAfterStop(t *testing.T) {
+	que, stop := start(t, queue.Config{})
+	tkt, err := que.Enter(context.Background(), core.Job{Model: "m"})
+	assert.NilError(t, err)
+	stop()
+	tkt.Done(1)
+	_, err = que.Enter(context.Background(), core.Job{Model: "m"})
+	assert.Equal(t, core.CodeOf(err), core.CodeDraining)
+}
+
+func TestRefusalTellsAfter(t *testing.T) {
+	que, _ := start(t, queue.Config{Admit: admit.Config{Default: admit.OrgLimits{Requests: 0.5}}})
+	_, err := que.Enter(context.Background(), core.Job{Org: "a", Model: "m"})
+	assert.NilError(t, err)
+	_, err = que.Enter(context.Background(), core.Job{Org: "a", Model: "m"})
+	assert.Equal(t, core.CodeOf(err), core.CodeOrgLimit)
+	assert.Assert(t, queue.After(fmt.Errorf("wrapped: %w", err)) > time.Second)
+	assert.Equal(t, queue.After(errors.New("other")), time.Duration(0))
+}
+
+// TestManyCallers lets callers race, some of which leave, and checks that no
+// more run at once than there are slots and that no slot is lost.
+func TestManyCallers(t *testing.T) {
+	const callers, slots = 64, 3
+	que, _ := start(t, queue.Config{})
+	que.SetCapacity("m", slots)
+	var mut sync.Mutex
+	var running, most int
+	count := func(num int) {
+		mut.Lock()
+		defer mut.Unlock()
+		running += num
+		most = max(most, running)
+	}
+	var grp sync.WaitGroup
+	for idx := range callers {
+		grp.Go(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if idx%4 == 0 {
+				cancel()
+			}
+			job := core.Job{Org: core.OrgName(fmt.Sprint(idx % 5)), Model: "m", MaxTokens: 10}
+			tkt, err := que.Enter(ctx, job)
+			if err != nil {
+				assert.Check(t, core.CodeOf(err) == core.CodeCallerGone)
+				return
+			}
+			count(1)
+			count(-1)
+			tkt.Done(10)
+		})
+	}
+	grp.Wait()
+	assert.Assert(t, most <= slots)
+	for range slots {
+		_, err := que.Enter(context.Background(), core.Job{Model: "m"})
+		assert.NilError(t, err)
+	}
+}
+
+func TestClassAndCost(t *testing.T) {
+	assert.Equal(t, queue.Class(core.Job{Model: "m"}), core.ModelName("m"))
+	assert.Equal(t, queue.Class(core.Job{Service: "fees"}), core.ModelName("plain/fees"))
+	assert.Equal(t, queue.Cost(core.Job{Prompt: "12345678", MaxTokens: 4}), 7.0)
+}
