Keep taking requests while the balancer has not noticed a stop

Cause: a node that turns unready is still sent requests until the balancer's next check; refusing them would fail callers during a planned stop. Change: Accepts apart from Ready; a refusal of the queue keeps its time to retry after through its whole error chain. Before: a request that came after the stop's begin was refused. After: it runs.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -40,6 +40,8 @@
 
 func (bck *backend) Ready() core.Code { return bck.ready }
 
+func (bck *backend) Accepts() core.Code { return core.CodeOK }
+
 func (bck *backend) Run(ctx context.Context, job core.Job, snk core.Sink) error {
 	return bck.run(ctx, job, snk)
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -33,8 +33,11 @@
 	Models() []core.ModelName
 	// Run runs a job; its error carries the result code.
 	Run(ctx context.Context, job core.Job, snk core.Sink) error
-	// Ready returns core.CodeOK if the node takes requests.
+	// Ready returns core.CodeOK if the balancer shall send requests here.
 	Ready() core.Code
+	// Accepts returns core.CodeOK if a request that comes is served. A node
+	// that has just turned unready still accepts.
+	Accepts() core.Code
 }
 
 // Config has the bounds of the server.
@@ -129,7 +132,7 @@
 	if err != nil {
 		return core.Job{}, err
 	}
-	if cod := srv.bck.Ready(); cod != core.CodeOK {
+	if cod := srv.bck.Accepts(); cod != core.CodeOK {
 		return core.Job{}, core.Errorf(cod, "this entry VM takes no requests")
 	}
 	lim := srv.bck.Limits(org)
--- a/queue/enter.go
+++ b/queue/enter.go
@@ -24,7 +24,9 @@
 func (ref *Refusal) Error() string { return fmt.Sprintf("code %d: %s", ref.code, ref.detail) }
 
 // Unwrap returns the core.Error with the result code.
-func (ref *Refusal) Unwrap() error { return core.Errorf(ref.code, "%s", ref.detail) }
+func (ref *Refusal) Unwrap() error {
+	return core.AfterError(core.Errorf(ref.code, "%s", ref.detail), ref.after)
+}
 
 // After returns the time after which a new try may succeed, zero if unknown.
 func (ref *Refusal) After() time.Duration { return ref.after }
