--- /dev/null
+++ b/core/crash/doc.go
@@ -0,0 +1,29 @@
+// Package crash finds the requests that crash backend servers and keeps them
+// from doing so again. It is a state machine without I/O: time is an argument.
+//
+// A request is known by its print, a fingerprint of its content, so that a
+// resend through another entry VM is the same request. What was running on a
+// group when the group was lost becomes suspect. A suspect runs next on a
+// group with no other suspect; completion clears it, and a second crash
+// quarantines it for a time. So a request that crashes every server that runs
+// it takes down two groups, and those that ran beside it go free.
+//
+// # Breaks
+//
+// A connection breaks before the probes tell that a member is missing. A break
+// therefore counts like a crash for a short time, until the loss is confirmed
+// or the time is over: a request is not sent to a third group while two breaks
+// are open.
+//
+// # Losses at once
+//
+// Groups that are lost in one report share a cause outside of them, such as
+// their fabric domain, unless one request ran on all of them. Only such a
+// request becomes suspect.
+//
+// # Sharing
+//
+// Each node exports the crashes that it saw itself and keeps what its peers
+// export beside it, one list for each peer. The decision counts the sum, so
+// one crash at each of two nodes quarantines at both.
+package crash
