--- a/core/crash/book.go
+++ b/core/crash/book.go
@@ -321,3 +321,11 @@
 		}
 	}
 }
+
+// SetQuarantine changes the time for which requests are refused from now on.
+// A duration that is not positive changes nothing.
+func (boo *Book) SetQuarantine(dur time.Duration) {
+	if dur > 0 {
+		boo.cfg.Quarantine = dur
+	}
+}
--- a/core/flight/machine.go
+++ b/core/flight/machine.go
@@ -269,7 +269,7 @@
 		mac.exclude = append(mac.exclude, mac.group)
 	}
 	mac.attempt = ""
-	if !mac.mayRepeat() {
+	if !mac.mayRepeat() || (mac.remote && notRun) {
 		mac.finishFailed(ev.Code)
 		return
 	}
--- a/core/once/event.go
+++ b/core/once/event.go
@@ -74,7 +74,7 @@
 const (
 	// ActionLookup asks for the key's claim, after the wait After.
 	ActionLookup ActionKind = "lookup"
-	// ActionClaim proposes the claim with the machine's record ID.
+	// ActionClaim proposes the claim: Record, which is new for each proposal.
 	ActionClaim ActionKind = "claim"
 	// ActionDispatch sends the request. It is given at most once.
 	ActionDispatch ActionKind = "dispatch"
@@ -82,8 +82,8 @@
 	ActionRecord ActionKind = "record"
 	// ActionRelease proposes to free the claim: Claim.
 	ActionRelease ActionKind = "release"
-	// ActionAbandon states that the machine's claim may still be accepted, and
-	// that it surely was not and will not be dispatched.
+	// ActionAbandon states that the claim may still be accepted, and that it
+	// surely was not and will not be dispatched: Record.
 	ActionAbandon ActionKind = "abandon"
 	// ActionAnswer gives the caller a reply: Reply, Recorded.
 	ActionAnswer ActionKind = "answer"
@@ -95,6 +95,7 @@
 // of the machine's own dispatch.
 type Action struct {
 	Kind     ActionKind    `json:"kind"`
+	Record   core.RecordID `json:"record,omitempty"`
 	Claim    core.Offset   `json:"claim,omitempty"`
 	Unknown  bool          `json:"unknown,omitempty"`
 	Recorded bool          `json:"recorded,omitempty"`
--- a/core/once/machine.go
+++ b/core/once/machine.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"fmt"
 	"time"
 
 	"kumquathinge/core"
@@ -11,12 +12,14 @@
 	inProgressAfter = time.Second
 
 	defaultMaxReply = 16 << 10 // bytes
+	maxClaims       = 4        // claims of one machine that lose a race
 )
 
 // Config describes one request.
 type Config struct {
-	// Record is the ID of the claim's record. It must never have been used.
-	Record core.RecordID
+	// Stem is what the IDs of the claim's records begin with. It must never have
+	// been used.
+	Stem core.RecordID
 	// Digest is a hash of the request's content.
 	Digest uint64
 	Issued time.Time
@@ -47,15 +50,18 @@
 	cfg        Config
 	phase      phase
 	open       bool
+	orphan     bool
+	claims     int
+	current    core.RecordID
 	claim      core.Offset
 	dispatched bool
 	out        []Action
 }
 
-// New returns the machine of a request. It panics if cfg.Record is empty.
+// New returns the machine of a request. It panics if cfg.Stem is empty.
 func New(cfg Config) *Machine {
-	if cfg.Record == "" {
-		panic("once: no record ID")
+	if cfg.Stem == "" {
+		panic("once: no stem of record IDs")
 	}
 	if cfg.MaxReply <= 0 {
 		cfg.MaxReply = defaultMaxReply
@@ -138,9 +144,13 @@
 		mac.lookup(lookupWait)
 	case mac.expired(now):
 		mac.finish(core.CodeKeyExpired, 0)
+	case mac.claims >= maxClaims:
+		mac.giveUp(core.CodeKeyInProgress)
 	default:
+		mac.claims++
+		mac.current = core.RecordID(fmt.Sprintf("%s.%d", mac.cfg.Stem, mac.claims))
 		mac.phase = phaseClaiming
-		mac.do(Action{Kind: ActionClaim})
+		mac.do(Action{Kind: ActionClaim, Record: mac.current})
 	}
 }
 
@@ -161,21 +171,32 @@
 	case vie.Done:
 		mac.do(Action{Kind: ActionAnswer, Reply: vie.Reply, Recorded: true})
 		mac.giveUp(core.CodeOK)
-	case vie.Record == mac.cfg.Record:
+	case mac.open && vie.Record == mac.current:
 		mac.dispatch(vie.Offset)
 	case vie.Abandoned:
 		mac.phase = phaseReleasing
 		mac.do(Action{Kind: ActionRelease, Claim: vie.Offset})
 	case vie.Mine && !vie.Live, vie.HolderGone:
-		if vie.Mine {
-			mac.do(Action{Kind: ActionRecord, Claim: vie.Offset, Unknown: true})
-		}
-		mac.giveUp(core.CodeUnknownOnce)
+		mac.orphaned(vie)
 	default:
 		mac.giveUp(core.CodeKeyInProgress)
 	}
 }
 
+// orphaned takes a claim on which no process works. Its holder may have
+// recorded the outcome just now, so a second look decides.
+func (mac *Machine) orphaned(vie View) {
+	if !mac.orphan {
+		mac.orphan = true
+		mac.lookup(lookupWait)
+		return
+	}
+	if vie.Mine {
+		mac.do(Action{Kind: ActionRecord, Claim: vie.Offset, Unknown: true})
+	}
+	mac.giveUp(core.CodeUnknownOnce)
+}
+
 func (mac *Machine) claiming(ev Event, now time.Time) {
 	switch ev.Kind {
 	case EventAccepted:
@@ -203,7 +224,13 @@
 }
 
 func (mac *Machine) rejected(code core.Code) {
-	if code == core.CodeClaimTaken || code == core.CodeDuplicateRecord {
+	switch code {
+	case core.CodeDuplicateRecord:
+		// The record is in the log: the claim itself tells whether it was accepted.
+		mac.open = true
+		mac.lookup(0)
+		return
+	case core.CodeClaimTaken:
 		mac.lookup(0)
 		return
 	}
@@ -261,7 +288,7 @@
 // giveUp ends the request without a dispatch by this machine.
 func (mac *Machine) giveUp(code core.Code) {
 	if mac.open {
-		mac.do(Action{Kind: ActionAbandon})
+		mac.do(Action{Kind: ActionAbandon, Record: mac.current})
 	}
 	after := time.Duration(0)
 	if code == core.CodeKeyInProgress {
