Wire the thin whole path as separate processes

Cause: the packages had no daemon and nothing showed them working together. Ruled out: a demonstration program that starts processes; a script starts them. Change: package node wires lister, prober, beater, store, control, admission and the three servers with dig and run groups; kumquathinged is the daemon; scripts/demo.sh runs stand-ins and 4 entry VMs in 3 zones. Before: nothing ran.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	go build -o $(BIN)/ ./cmd/...
 
 demo: build
-	$(BIN)/demo --bin $(BIN)
+	bash scripts/demo.sh $(BIN)
 
 test:
 	go test $(TEST_FLAGS) ./...
--- /dev/null
+++ b/node/jobs.go
@@ -0,0 +1,261 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"kumquathinge/core"
+	"kumquathinge/core/gate"
+	"kumquathinge/core/membr"
+	"kumquathinge/core/tree"
+	"kumquathinge/io/front"
+	"kumquathinge/io/plain"
+	"kumquathinge/io/wire"
+	"kumquathinge/queue"
+	"kumquathinge/serve"
+)
+
+// maxHops is the number of times that a job is handed to another zone.
+const maxHops = 1
+
+// maxPeerTries bounds the peers that a job is offered to.
+const maxPeerTries = 3
+
+// jobs takes requests of callers and forwarded jobs of peers.
+type jobs struct {
+	node  core.NodeName
+	zone  core.Zone
+	world func() *world
+	lst   *lister
+	bet   *beater
+	prb   *prober
+	gat   *gate.Gate
+	que   *queue.Queue
+	srv   *serve.Server
+	now   func() time.Time
+	pools plains
+	stop  *stopper
+	ready func() bool
+}
+
+var _ front.Backend = (*jobs)(nil)
+
+// Org returns the organisation of a bearer key's hash.
+func (jbs *jobs) Org(sum string) (core.OrgName, bool) {
+	org, ok := jbs.world().keys[sum]
+	return org, ok
+}
+
+// Limits returns what applies to an organisation's jobs.
+func (jbs *jobs) Limits(org core.OrgName) front.Limits {
+	cfg := jbs.world().tree.Config(tree.OrgPath(org))
+	return front.Limits{
+		Deadline: cfg.Duration("request.deadline"),
+		Priority: cfg.Int("org.priority"),
+	}
+}
+
+// Models returns the models that the settings have.
+func (jbs *jobs) Models() []core.ModelName {
+	return jbs.world().models
+}
+
+// Ready returns core.CodeOK if the balancer shall send requests here.
+func (jbs *jobs) Ready() core.Code {
+	drain := jbs.world().tree.Config(tree.NodePath(jbs.node)).Bool("node.draining")
+	if drain || jbs.stop.stopping() {
+		return core.CodeDraining
+	}
+	return jbs.Accepts()
+}
+
+// Accepts returns core.CodeOK if a request that comes is served.
+func (jbs *jobs) Accepts() core.Code {
+	if jbs.stop.closed() {
+		return core.CodeDraining
+	}
+	if !jbs.ready() {
+		return core.CodeNotReady
+	}
+	return core.CodeOK
+}
+
+// Run runs a job here or, if the zone can't serve it, in another zone.
+func (jbs *jobs) Run(ctx context.Context, job core.Job, snk core.Sink) error {
+	done, err := jbs.stop.enter()
+	if err != nil {
+		return err
+	}
+	defer done()
+	if job.Hops < maxHops && !jbs.serves(job) {
+		return jbs.srv.Run(ctx, job, snk)
+	}
+	tkt, err := jbs.que.Enter(ctx, job)
+	if err != nil {
+		return err
+	}
+	cnt := &counter{snk: snk}
+	err = jbs.srv.Run(ctx, job, cnt)
+	tkt.Done(cnt.tokens)
+	return err
+}
+
+// serves reports whether the zone has a complete group or a server for the
+// job.
+func (jbs *jobs) serves(job core.Job) bool {
+	if job.Service != "" {
+		return len(jbs.Plains(job.Service)) > 0
+	}
+	now := jbs.now()
+	for _, asg := range jbs.world().byModel[job.Model] {
+		if !suits(asg, job) {
+			continue
+		}
+		if _, err := jbs.gat.Permit(asg.Group, now); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// suits reports whether the assignment runs what the job asks for.
+func suits(asg core.Assignment, job core.Job) bool {
+	if asg.Phase != core.PhaseAssigned || asg.Spec.Role == core.RolePrefill {
+		return false
+	}
+	return job.Adapter == "" || slices.Contains(asg.Spec.Adapters, job.Adapter)
+}
+
+// Forward hands a job to a node of another zone. Only a peer that was surely
+// not reached is followed by another.
+func (jbs *jobs) Forward(ctx context.Context, job core.Job, snk core.Sink) error {
+	if job.Hops > maxHops {
+		return core.Errorf(core.CodeHopLimit, "job was handed on %d times", job.Hops-1)
+	}
+	if jbs.unknown(job) {
+		return notConfigured(job)
+	}
+	var err error = core.Errorf(core.CodeNoGroup, "no zone in reach can serve %q", cmp.Or(string(job.Model), job.Service))
+	for _, bea := range jbs.others(job.ID) {
+		err = jbs.bet.client(bea.Addr).Forward(ctx, job, snk)
+		if core.CodeOf(err) != core.CodePeerUnreachable {
+			return err
+		}
+	}
+	return err
+}
+
+// unknown reports whether the settings don't have the job's model or service.
+func (jbs *jobs) unknown(job core.Job) bool {
+	tre := jbs.world().tree
+	if job.Service != "" {
+		return !tre.Config(tree.ServicePath(job.Service)).Bool("service.enabled")
+	}
+	return !slices.Contains(jbs.Models(), job.Model)
+}
+
+// notConfigured returns the error for a job whose model or service the
+// settings don't have.
+func notConfigured(job core.Job) error {
+	if job.Service != "" {
+		return core.Errorf(core.CodeNoService, "service %q is not enabled", job.Service)
+	}
+	return core.Errorf(core.CodeNoModel, "model %q does not exist", job.Model)
+}
+
+// others returns live nodes of other zones in the order of a ranking by key.
+func (jbs *jobs) others(key string) []core.Beat {
+	byName := make(map[core.NodeName]core.Beat)
+	var nams []core.NodeName
+	for _, bea := range jbs.bet.circle().live {
+		if bea.Zone != jbs.zone {
+			byName[bea.Node] = bea
+			nams = append(nams, bea.Node)
+		}
+	}
+	var out []core.Beat
+	for _, nam := range membr.Rank(key, nams) {
+		out = append(out, byName[nam])
+		if len(out) == maxPeerTries {
+			break
+		}
+	}
+	return out
+}
+
+// counter counts the tokens that pass to a sink.
+type counter struct {
+	snk    core.Sink
+	tokens int
+}
+
+var _ core.Sink = (*counter)(nil)
+
+// Part passes prt on.
+func (cnt *counter) Part(prt core.Part) error {
+	if prt.Text != "" {
+		cnt.tokens++
+	}
+	return cnt.snk.Part(prt)
+}
+
+// Candidates returns the zone's groups that could serve the job.
+func (jbs *jobs) Candidates(job core.Job) []core.Candidate {
+	wor := jbs.world()
+	sgs := jbs.gat.Sights()
+	fly := jbs.srv.InFlight()
+	var out []core.Candidate
+	for _, asg := range wor.byModel[job.Model] {
+		if !suits(asg, job) {
+			continue
+		}
+		sgt := sgs[asg.VMs[0]]
+		out = append(out, core.Candidate{
+			Group:    asg.Group,
+			Order:    asg.Order,
+			Load:     sgt.Probe.Load,
+			LoadAt:   sgt.Sent,
+			InFlight: fly[asg.Group],
+			Capacity: wor.capacity(asg),
+		})
+	}
+	return out
+}
+
+// capacity returns how many requests the assignment's group runs at once.
+func (wor *world) capacity(asg core.Assignment) int {
+	return wor.tree.Config(tree.GroupPath(asg.Spec.Model, asg.Group)).Int("model.capacity")
+}
+
+// Engine returns the client of an engine of the zone.
+func (jbs *jobs) Engine(vmx core.VMName) (core.Engine, error) { return jbs.prb.engine(vmx) }
+
+// Plains returns the zone's servers of a service that may get work.
+func (jbs *jobs) Plains(service string) []core.VMName {
+	wor := jbs.world()
+	if !wor.tree.Config(tree.ServicePath(service)).Bool("service.enabled") {
+		return nil
+	}
+	ros := jbs.lst.roster()
+	lea := wor.leaving(ros)
+	var out []core.VMName
+	for _, vmx := range ros.inZone(jbs.zone, core.VMPlain) {
+		if vmx.Service == service && !lea.Has(vmx.Name) {
+			out = append(out, vmx.Name)
+		}
+	}
+	return out
+}
+
+// Plain returns the client of a plain service's server.
+func (jbs *jobs) Plain(nam core.VMName) (core.Plain, error) {
+	vmx, ok := jbs.lst.roster().find(nam)
+	if !ok {
+		return nil, core.Errorf(core.CodeVMUnknown, "VM %q is not on the list", nam)
+	}
+	return jbs.pools.get(vmx.Addr, func() *plain.Service {
+		return plain.New(vmx.Addr, plain.Config{Wire: wire.Config{DialTimeout: serverDialTimeout}})
+	}), nil
+}
--- /dev/null
+++ b/node/limit.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"kumquathinge/core"
+	"kumquathinge/core/admit"
+	"kumquathinge/core/gate"
+	"kumquathinge/core/tree"
+	"kumquathinge/queue"
+)
+
+// Bounds of the admission task's inputs.
+const (
+	limitInterval = 200 * time.Millisecond
+	plainSlots    = 256
+	shareFloor    = 0.3
+)
+
+// limiter is the task that tells the queue how much work the zone can take and
+// which part of each organisation's limit the node holds.
+type limiter struct {
+	self  core.NodeName
+	zone  core.Zone
+	world func() *world
+	lst   *lister
+	bet   *beater
+	gat   *gate.Gate
+	que   *queue.Queue
+	now   func() time.Time
+}
+
+// run updates the queue until ctx ends.
+func (lim *limiter) run(ctx context.Context) error {
+	return every(ctx, limitInterval, lim.update)
+}
+
+// update passes the present limits on.
+func (lim *limiter) update() {
+	wor := lim.world()
+	cir := lim.bet.circle()
+	peers := max(1, len(cir.inZone(lim.zone)))
+	for _, mod := range wor.models {
+		lim.que.SetCapacity(mod, perNode(lim.slots(wor, mod), peers))
+	}
+	for _, svc := range wor.services {
+		num := plainSlots * len(lim.servers(svc))
+		lim.que.SetCapacity(queue.Class(core.Job{Service: svc}), perNode(num, peers))
+	}
+	for _, org := range wor.orgs {
+		lim.que.SetOrg(org, orgLimits(wor.tree.Config(tree.OrgPath(org))))
+		lim.que.SetShare(org, lim.share(cir, org))
+	}
+}
+
+// perNode divides slots by the nodes that share them, rounding up.
+func perNode(slots, nodes int) int { return (slots + nodes - 1) / nodes }
+
+// slots returns how many requests the model's groups that may get work run at
+// once.
+func (lim *limiter) slots(wor *world, mod core.ModelName) int {
+	now := lim.now()
+	sum := 0
+	for _, asg := range wor.byModel[mod] {
+		if _, err := lim.gat.Permit(asg.Group, now); err == nil {
+			sum += wor.capacity(asg)
+		}
+	}
+	return sum
+}
+
+// servers returns the zone's servers of a service.
+func (lim *limiter) servers(service string) []core.VM {
+	var out []core.VM
+	for _, vmx := range lim.lst.roster().inZone(lim.zone, core.VMPlain) {
+		if vmx.Service == service {
+			out = append(out, vmx)
+		}
+	}
+	return out
+}
+
+// orgLimits reads an organisation's limits.
+func orgLimits(cfg tree.Config) admit.OrgLimits {
+	return admit.OrgLimits{
+		Weight:      cfg.Float("org.weight"),
+		Requests:    cfg.Float("org.requests_per_second"),
+		Tokens:      cfg.Float("org.tokens_per_second"),
+		Concurrency: cfg.Int("org.concurrency"),
+		Priority:    cfg.Int("org.priority"),
+	}
+}
+
+// share returns the part of the organisation's limit that this node holds.
+func (lim *limiter) share(cir *circle, org core.OrgName) float64 {
+	self := -1
+	live := make(map[core.NodeName]bool)
+	var nods []admit.Node
+	for idx, bea := range cir.live {
+		if bea.Node == lim.self {
+			self = idx
+		}
+		live[bea.Node] = true
+		nods = append(nods, admit.Node{Zone: bea.Zone, Demand: bea.Usage[org].Requests, Reached: true})
+	}
+	if self < 0 {
+		return 0
+	}
+	nods[self].Demand = lim.que.Usage()[org].Requests
+	for _, vmx := range lim.lst.roster().vms {
+		if vmx.Kind == core.VMEntry && !vmx.Leaving && !live[core.NodeName(vmx.Name)] {
+			nods = append(nods, admit.Node{Zone: vmx.Zone})
+		}
+	}
+	return admit.Share(nods, self, shareFloor)
+}
--- /dev/null
+++ b/node/meter.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"expvar"
+	"net/http"
+
+	"kumquathinge/core"
+)
+
+// metrics returns the handler of /debug/vars.
+func (nod *Node) metrics() http.Handler {
+	nod.met.Set("applied", expvar.Func(func() any { return nod.sto.Status().Offset }))
+	nod.met.Set("log_ok", expvar.Func(func() any { return nod.sto.Status().LogOK }))
+	nod.met.Set("live_nodes", expvar.Func(func() any { return len(nod.bet.circle().live) }))
+	nod.met.Set("open_requests", expvar.Func(func() any { return nod.stp.count() }))
+	nod.met.Set("groups_serving", expvar.Func(func() any { return nod.serving() }))
+	nod.met.Set("queue", nod.que.Stats())
+	if expvar.Get(metricsName) == nil {
+		expvar.Publish(metricsName, nod.met)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
+// serving counts the zone's groups that may get work now.
+func (nod *Node) serving() int {
+	now := nod.jbs.now()
+	num := 0
+	for _, asg := range nod.wls.get().assigned {
+		if _, err := nod.jbs.gat.Permit(asg.Group, now); core.CodeOf(err) == core.CodeOK {
+			num++
+		}
+	}
+	return num
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,194 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"kumquathinge/core"
+	"kumquathinge/core/tree"
+	"kumquathinge/io/front"
+	"kumquathinge/io/peer"
+	"kumquathinge/queue"
+	"kumquathinge/store"
+)
+
+// Timing of a planned stop.
+const (
+	stopNotice      = 2 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
+// Node is a wired entry VM.
+type Node struct {
+	cfg Config
+	log *logrus.Logger
+	met *expvar.Map
+	stp *stopper
+	lst *lister
+	bet *beater
+	prb *prober
+	ctl *controller
+	lim *limiter
+	sto *store.Store
+	que *queue.Queue
+	jbs *jobs
+	wls *worlds
+	fro *front.Server
+	ope *fasthttp.Server
+	fac *facts
+}
+
+// newNode collects the parts.
+func newNode(
+	cfg Config, log *logrus.Logger, met *expvar.Map, stp *stopper, lst *lister,
+	bet *beater, prb *prober, ctl *controller, lim *limiter, sto *store.Store,
+	que *queue.Queue, jbs *jobs, wls *worlds, fro *front.Server, ope *fasthttp.Server, fac *facts,
+) *Node {
+	return &Node{
+		cfg: cfg, log: log, met: met, stp: stp, lst: lst,
+		bet: bet, prb: prb, ctl: ctl, lim: lim, sto: sto,
+		que: que, jbs: jbs, wls: wls, fro: fro, ope: ope, fac: fac,
+	}
+}
+
+// Run runs the node until ctx ends and then stops it gracefully: it turns
+// unready, goes on serving, refuses new requests, waits for those in progress
+// and then ends every task. Its error carries core.CodeListenFailed if an
+// address can't be listened on, and core.CodeStopBound if the stop cut
+// requests.
+func (nod *Node) Run(ctx context.Context) error {
+	lis, err := nod.listen()
+	if err != nil {
+		return err
+	}
+	var grp run.Group
+	for _, tsk := range []func(context.Context) error{
+		nod.lst.run, nod.bet.run, nod.sto.Run, nod.prb.run,
+		nod.que.Run, nod.lim.run, nod.ctl.run, nod.report,
+	} {
+		addTask(&grp, tsk)
+	}
+	nod.addServers(&grp, lis)
+	grp.Add(func() error { return nod.stop(ctx) }, func(error) {})
+	nod.log.WithFields(logrus.Fields{"event": "start", "node": nod.cfg.Node, "zone": nod.cfg.Zone}).Info("node started")
+	err = grp.Run()
+	nod.log.WithFields(logrus.Fields{"event": "stop", "node": nod.cfg.Node, "code": core.CodeOf(err)}).Info("node stopped")
+	return err
+}
+
+// addTask adds a task that ends with its context.
+func addTask(grp *run.Group, tsk func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	grp.Add(func() error { return tsk(ctx) }, func(error) { cancel() })
+}
+
+// listeners are the node's listening sockets.
+type listeners struct {
+	callers, operators, peers, metrics net.Listener
+}
+
+// listen opens the sockets.
+func (nod *Node) listen() (listeners, error) {
+	var lis listeners
+	adr := nod.cfg.Listen
+	for _, itm := range []struct {
+		addr string
+		to   *net.Listener
+	}{
+		{adr.Callers, &lis.callers},
+		{adr.Operators, &lis.operators},
+		{adr.Peers, &lis.peers},
+		{adr.Metrics, &lis.metrics},
+	} {
+		got, err := net.Listen("tcp", itm.addr)
+		if err != nil {
+			return lis, core.Errorf(core.CodeListenFailed, "listen on %s: %v", itm.addr, err)
+		}
+		*itm.to = got
+	}
+	return lis, nil
+}
+
+// addServers adds the servers for callers, operators, peers and metrics.
+func (nod *Node) addServers(grp *run.Group, lis listeners) {
+	grp.Add(func() error { return nod.fro.Serve(lis.callers) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = nod.fro.Shutdown(ctx)
+	})
+	grp.Add(func() error { return nod.ope.Serve(lis.operators) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = nod.ope.ShutdownWithContext(ctx)
+	})
+	addHTTP(grp, lis.peers, peer.Handler(&peerBackend{nod: nod}, peerKeepAlive))
+	addHTTP(grp, lis.metrics, nod.metrics())
+}
+
+// addHTTP adds a server on lis.
+func addHTTP(grp *run.Group, lis net.Listener, hdl http.Handler) {
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+	grp.Add(func() error {
+		err := srv.Serve(lis)
+		if eris.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) { _ = srv.Close() })
+}
+
+// stop waits for ctx and carries a planned stop out.
+func (nod *Node) stop(ctx context.Context) error {
+	<-ctx.Done()
+	bound := nod.wls.get().tree.Config(tree.NodePath(nod.cfg.Node)).Duration("stop.bound")
+	end, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	nod.log.WithFields(logrus.Fields{"event": "drain", "bound": bound.String(), "open": nod.stp.count()}).Info("node drains")
+	nod.stp.notice()
+	select {
+	case <-time.After(min(stopNotice, bound/2)):
+	case <-end.Done():
+	}
+	nod.stp.close()
+	return nod.stp.wait(end)
+}
+
+// report logs each change that comes into force and follows the node's own
+// draining setting.
+func (nod *Node) report(ctx context.Context) error {
+	last := nod.sto.View().Offset()
+	for {
+		chg := nod.sto.Changed()
+		vie := nod.sto.View()
+		for _, lin := range vie.Audit(last, maxAuditLines) {
+			nod.log.WithFields(logrus.Fields{
+				"event":   "change",
+				"offset":  lin.Offset,
+				"kind":    lin.Kind,
+				"by":      lin.By,
+				"subject": lin.Subject,
+				"key":     lin.Key,
+				"old":     lin.Old,
+				"new":     lin.New,
+				"code":    lin.Code,
+			}).Info("change folded")
+		}
+		last = vie.Offset()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-chg:
+		}
+	}
+}
+
+// maxAuditLines bounds the lines logged for one change of the view.
+const maxAuditLines = 256
