Refuse a forwarded job that the zone can't serve, and ask another

Cause: a job handed to a zone without a complete group waited in that zone's queue, whose capacity stayed 0, until its deadline: the 30 s waits at start. Change: a node without a complete group answers a forwarded job as not run; the first node then asks a node of another zone, those first whose zone has an assignment for the model. Conclusion: only not-run results lead to another peer.

--- a/node/jobs.go
+++ b/node/jobs.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -89,8 +88,8 @@
 		return err
 	}
 	defer done()
-	if job.Hops < maxHops && !jbs.serves(job) {
-		return jbs.srv.Run(ctx, job, snk)
+	if !jbs.serves(job) {
+		return jbs.runElsewhere(ctx, job, snk)
 	}
 	tkt, err := jbs.que.Enter(ctx, job)
 	if err != nil {
@@ -128,8 +127,29 @@
 	return job.Adapter == "" || slices.Contains(asg.Spec.Adapters, job.Adapter)
 }
 
-// Forward hands a job to a node of another zone. Only a peer that was surely
-// not reached is followed by another.
+// runElsewhere runs a job that the zone can't serve. A job that came from
+// another zone goes back to it, which knows further zones.
+func (jbs *jobs) runElsewhere(ctx context.Context, job core.Job, snk core.Sink) error {
+	if job.Hops >= maxHops {
+		return notHere(job)
+	}
+	return jbs.srv.Run(ctx, job, snk)
+}
+
+// groupRetryAfter is the time after which a caller may ask again for a job
+// that no zone can serve.
+const groupRetryAfter = time.Second
+
+// notHere returns the error for a job that the zone can't serve.
+func notHere(job core.Job) error {
+	if job.Service != "" {
+		return core.AfterError(core.Errorf(core.CodeNoService, "no server of service %q", job.Service), groupRetryAfter)
+	}
+	return core.AfterError(core.Errorf(core.CodeNoGroup, "no complete group of model %q", job.Model), groupRetryAfter)
+}
+
+// Forward hands a job to a node of another zone. Only a peer at which the job
+// surely did not run, and that can't serve it, is followed by another.
 func (jbs *jobs) Forward(ctx context.Context, job core.Job, snk core.Sink) error {
 	if job.Hops > maxHops {
 		return core.Errorf(core.CodeHopLimit, "job was handed on %d times", job.Hops-1)
@@ -137,16 +157,27 @@
 	if jbs.unknown(job) {
 		return notConfigured(job)
 	}
-	var err error = core.Errorf(core.CodeNoGroup, "no zone in reach can serve %q", cmp.Or(string(job.Model), job.Service))
-	for _, bea := range jbs.others(job.ID) {
+	err := notHere(job)
+	for _, bea := range jbs.others(job) {
 		err = jbs.bet.client(bea.Addr).Forward(ctx, job, snk)
-		if core.CodeOf(err) != core.CodePeerUnreachable {
+		if !passOver.Has(core.CodeOf(err)) {
 			return err
 		}
 	}
 	return err
 }
 
+// passOver are the results after which another peer is tried. All of them
+// state that the job did not run.
+var passOver = core.NewSet(
+	core.CodePeerUnreachable,
+	core.CodeNoGroup,
+	core.CodeNoService,
+	core.CodeNotReady,
+	core.CodeDraining,
+	core.CodeQueueFull,
+)
+
 // unknown reports whether the settings don't have the job's model or service.
 func (jbs *jobs) unknown(job core.Job) bool {
 	tre := jbs.world().tree
@@ -165,24 +196,47 @@
 	return core.Errorf(core.CodeNoModel, "model %q does not exist", job.Model)
 }
 
-// others returns live nodes of other zones in the order of a ranking by key.
-func (jbs *jobs) others(key string) []core.Beat {
+// others returns live nodes of other zones, those first whose zone has what
+// the job needs, in the order of a ranking by the job's ID.
+func (jbs *jobs) others(job core.Job) []core.Beat {
 	byName := make(map[core.NodeName]core.Beat)
-	var nams []core.NodeName
+	var near, far []core.NodeName
+	zons := jbs.zones(job)
 	for _, bea := range jbs.bet.circle().live {
-		if bea.Zone != jbs.zone {
-			byName[bea.Node] = bea
-			nams = append(nams, bea.Node)
+		if bea.Zone == jbs.zone {
+			continue
+		}
+		byName[bea.Node] = bea
+		if zons.Has(bea.Zone) {
+			near = append(near, bea.Node)
+		} else {
+			far = append(far, bea.Node)
 		}
 	}
 	var out []core.Beat
-	for _, nam := range membr.Rank(key, nams) {
+	for _, nam := range append(membr.Rank(job.ID, near), membr.Rank(job.ID, far)...) {
 		out = append(out, byName[nam])
-		if len(out) == maxPeerTries {
-			break
+	}
+	return out[:min(len(out), maxPeerTries)]
+}
+
+// zones returns the zones that have a group or a server for the job.
+func (jbs *jobs) zones(job core.Job) core.Set[core.Zone] {
+	set := core.NewSet[core.Zone]()
+	if job.Service != "" {
+		for _, vmx := range jbs.lst.roster().vms {
+			if vmx.Kind == core.VMPlain && vmx.Service == job.Service {
+				set.Add(vmx.Zone)
+			}
 		}
+		return set
 	}
-	return out
+	for _, asg := range jbs.world().everywhere {
+		if asg.Spec.Model == job.Model && suits(asg, job) {
+			set.Add(asg.Zone)
+		}
+	}
+	return set
 }
 
 // counter counts the tokens that pass to a sink.
--- a/node/world.go
+++ b/node/world.go
@@ -115,22 +115,25 @@
 }
 
 // world is what a node reads off one view of the folded state. It is
-// immutable.
+// immutable. Everywhere has the assignments of all zones, the other fields
+// those of the node's.
 type world struct {
 	*config
-	assigned []core.Assignment
-	byModel  map[core.ModelName][]core.Assignment
-	held     core.Set[core.VMName]
+	everywhere []core.Assignment
+	assigned   []core.Assignment
+	byModel    map[core.ModelName][]core.Assignment
+	held       core.Set[core.VMName]
 }
 
 // newWorld reads the view for a node of the zone.
 func newWorld(vie *fold.View, cfg *config, zon core.Zone) *world {
 	wor := &world{
-		config:  cfg,
-		byModel: make(map[core.ModelName][]core.Assignment),
-		held:    core.NewSet[core.VMName](),
+		config:     cfg,
+		everywhere: vie.Assignments(),
+		byModel:    make(map[core.ModelName][]core.Assignment),
+		held:       core.NewSet[core.VMName](),
 	}
-	for _, asg := range vie.Assignments() {
+	for _, asg := range wor.everywhere {
 		if asg.Zone != zon {
 			continue
 		}
