--- /dev/null
+++ b/cmd/kumctl/main.go
@@ -0,0 +1,12 @@
+// Program kumctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"kumquathinge/io/oper/opcli"
+)
+
+func main() {
+	os.Exit(opcli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/io/oper/opcli/complete.go
@@ -0,0 +1,82 @@
+package opcli
+
+import (
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"kumquathinge/core/tree"
+	"kumquathinge/io/oper"
+)
+
+// bashScript lets go-flags complete the words of the line.
+const bashScript = `_kumctl() {
+	local IFS=$'\n'
+	local words=("${COMP_WORDS[@]:1:COMP_CWORD}")
+	COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${words[@]}"))
+}
+complete -F _kumctl kumctl
+`
+
+type completionCommand struct {
+	apl  *app
+	Args struct {
+		Shell shellArg `positional-arg-name:"bash" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the script.
+func (cmd *completionCommand) Execute([]string) error {
+	if cmd.Args.Shell != "bash" {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "no completion for this shell, only for bash"}
+	}
+	printf(cmd.apl.out, "%s", bashScript)
+	return nil
+}
+
+// pathArg, keyArg, kindArg and shellArg complete what stands in their place.
+type (
+	pathArg  string
+	keyArg   string
+	kindArg  string
+	shellArg string
+)
+
+var (
+	_ flags.Completer = (*pathArg)(nil)
+	_ flags.Completer = (*keyArg)(nil)
+	_ flags.Completer = (*kindArg)(nil)
+	_ flags.Completer = (*shellArg)(nil)
+)
+
+// Complete offers the kinds of node.
+func (*pathArg) Complete(match string) []flags.Completion {
+	return starting(match, "/", "/models/", "/nodes/", "/orgs/", "/services/", "/vms/", "/zones/")
+}
+
+// Complete offers the keys of the schema.
+func (*keyArg) Complete(match string) []flags.Completion {
+	var out []string
+	for _, key := range tree.Keys() {
+		out = append(out, key.Name)
+	}
+	return starting(match, out...)
+}
+
+// Complete offers what can be drained.
+func (*kindArg) Complete(match string) []flags.Completion {
+	return starting(match, string(oper.KindVM), string(oper.KindGroup), string(oper.KindNode))
+}
+
+// Complete offers the shells.
+func (*shellArg) Complete(match string) []flags.Completion { return starting(match, "bash") }
+
+func starting(match string, words ...string) []flags.Completion {
+	var out []flags.Completion
+	for _, wrd := range words {
+		if strings.HasPrefix(wrd, match) {
+			out = append(out, flags.Completion{Item: wrd})
+		}
+	}
+	return out
+}
--- a/io/oper/read.go
+++ b/io/oper/read.go
@@ -140,7 +140,12 @@
 		})
 		return
 	}
-	answer(ctx, receiptOf(id, ver))
+	rec := receiptOf(id, ver)
+	if lin, known := lineOf(vie, id, ver.Offset); known && lin.Kind == fold.KindSetting {
+		rec.Path = tree.Path(lin.Subject)
+		rec.Key = lin.Key
+	}
+	answer(ctx, rec)
 }
 
 func (api *API) getStatus(ctx *fasthttp.RequestCtx) { answer(ctx, api.bck.Status(ctx)) }
--- a/io/oper/server_test.go
+++ b/io/oper/server_test.go
@@ -232,6 +232,11 @@
 			assert.Equal(t, cli.call("PUT", "/v1/settings", body, &got), 200)
 			assert.Equal(t, got.State, oper.StateAccepted)
 			assert.Equal(t, nod.View().Tree().Version(tree.Root), core.Offset(1))
+			// Another change may not.
+			body = strings.Replace(body, `"1s"`, `"2s"`, 1)
+			assert.Equal(t, cli.call("PUT", "/v1/settings", body, &got), 409)
+			assert.Equal(t, got.State, oper.StateRejected)
+			assert.Equal(t, got.Code, core.CodeDuplicateRecord)
 		})
 	}
 }
@@ -282,6 +287,23 @@
 	}
 }
 
+// TestSameIDLongValue sends a change again whose value the audit trail holds
+// shortened.
+func TestSameIDLongValue(t *testing.T) {
+	nod, cli := start(t)
+	var nams []string
+	for num := range 100 {
+		nams = append(nams, fmt.Sprintf("%q", fmt.Sprintf("adapter-%d", num)))
+	}
+	body := `{"path":"/","key":"model.adapters","base":0,"id":"6ba7b810-9dad-41d1-80b4-00c04fd430c8","value":[` + strings.Join(nams, ",") + `]}`
+	for range 2 {
+		var rec oper.Receipt
+		assert.Equal(t, cli.call("PUT", "/v1/settings", body, &rec), 200, rec.Detail)
+		assert.Equal(t, rec.Offset, core.Offset(1))
+	}
+	assert.Equal(t, nod.Appends(), 2)
+}
+
 func TestExplain(t *testing.T) {
 	_, cli := start(t)
 	var rec oper.Receipt
