--- a/io/oper/opcli/change.go
+++ b/io/oper/opcli/change.go
@@ -42,6 +42,10 @@
 	key := string(cmd.Args.Key)
 	val := jsonValue(key, cmd.Args.Value)
 	if !json.Valid(val) {
+		err := tree.Validate(tree.Path(cmd.Args.Path), key, nil)
+		if err != nil {
+			return err
+		}
 		return failf(core.CodeSettingInvalid, "%s: %s: value %s is not JSON", cmd.Args.Path, key, cmd.Args.Value)
 	}
 	return cmd.apl.change(cmd.changeFlags, tree.Path(cmd.Args.Path), key, val)
--- a/io/oper/opcli/client.go
+++ b/io/oper/opcli/client.go
@@ -27,7 +27,7 @@
 	if flr.State != "" {
 		txt += fmt.Sprintf(" [%s]", flr.State)
 	}
-	if flr.State == oper.StateUnknown && flr.ID != "" {
+	if flr.State == oper.StateUnknown && flr.ID != "" && flr.Offset == 0 {
 		txt += fmt.Sprintf("\nask for it by: kumctl outcome %s", flr.ID)
 	}
 	return txt
--- a/io/oper/opcli/run.go
+++ b/io/oper/opcli/run.go
@@ -1,6 +1,7 @@
 package opcli
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"kumquathinge/core"
+	"kumquathinge/io/oper"
 )
 
 // Exit codes that do not come from a result code.
@@ -19,6 +21,8 @@
 
 	codesPerHundred = 100
 	exitsPerHundred = 10
+
+	outputJSON = "json"
 )
 
 // errDifferent tells that a file differs from what is in force.
@@ -55,10 +59,10 @@
 		panic(err)
 	}
 	_, err = psr.ParseArgs(args)
-	return exit(err, out, errw)
+	return apl.exit(err, errw)
 }
 
-func exit(err error, out, errw io.Writer) int {
+func (apl *app) exit(err error, errw io.Writer) int {
 	var fle *flags.Error
 	switch {
 	case err == nil:
@@ -66,18 +70,28 @@
 	case errors.Is(err, errDifferent):
 		return exitDifferent
 	case errors.As(err, &fle) && fle.Type == flags.ErrHelp:
-		_, _ = fmt.Fprintln(out, fle.Message)
+		_, _ = fmt.Fprintln(apl.out, fle.Message)
 		return exitOK
 	case errors.As(err, &fle):
 		_, _ = fmt.Fprintln(errw, "kumctl:", fle.Message)
 		return exitUsage
 	}
-	_, _ = fmt.Fprintln(errw, "kumctl:", err)
-	cod := codeOf(err)
-	if cod == core.CodeOK {
-		return exitUsage
+	apl.showError(err, errw)
+	return ExitCode(codeOf(err))
+}
+
+// showError prints err in the form of the output.
+func (apl *app) showError(err error, errw io.Writer) {
+	if apl.Output != outputJSON {
+		_, _ = fmt.Fprintln(errw, "kumctl:", err)
+		return
+	}
+	out := oper.Failure{Code: codeOf(err), Error: err.Error()}
+	var flr *failure
+	if errors.As(err, &flr) {
+		out = flr.Failure
 	}
-	return ExitCode(cod)
+	_ = json.NewEncoder(errw).Encode(out)
 }
 
 // command is a command with its help.
--- a/io/oper/opcli/status.go
+++ b/io/oper/opcli/status.go
@@ -29,7 +29,10 @@
 	printf(wri, "node    %s  %s\n", clean(string(sta.Node)), ready)
 	log := "reachable"
 	if !sta.Log.OK {
-		log = "NOT reachable " + clean(sta.Log.Detail)
+		log = "NOT reachable"
+	}
+	if sta.Log.Detail != "" {
+		log += " (" + clean(sta.Log.Detail) + ")"
 	}
 	printf(wri, "log     %s  applied %d  hash %s\n", log, sta.Log.Applied, clean(sta.Log.Hash))
 	down := groupsDown(sta.Groups)
--- a/io/oper/opcli/table.go
+++ b/io/oper/opcli/table.go
@@ -16,7 +16,7 @@
 
 // show prints val as JSON, or calls tab if the output is a table.
 func (apl *app) show(val any, tab func(wri io.Writer)) error {
-	if apl.Output != "json" {
+	if apl.Output != outputJSON {
 		tab(apl.out)
 		return nil
 	}
