Hold the log client and the log fake against the conformance tests

A silent connection in the pool would have made each later call time out in turn: after a failed call no open connection is used again. Calls end with their context. A node that starts while the log is out now asks up to four peers and is ready only at the highest offset a peer is known to have reached, so that it does not serve an older state than the process before it.

--- a/core/tail/follow.go
+++ b/core/tail/follow.go
@@ -81,6 +81,8 @@
 	recent ring
 
 	ready     bool
+	adopted   bool
+	seen      core.Offset
 	gap       core.Offset
 	confirmed time.Time
 }
@@ -122,6 +124,7 @@
 	case GivenUp:
 		fol.givenUp(typ)
 	case PeerHash:
+		fol.seen = max(fol.seen, typ.At)
 		fol.hashes.compare(typ, fol.tick.Nodes)
 	}
 	fol.next()
@@ -181,6 +184,8 @@
 		return core.CodeLogGap, "the log ends before the state's offset"
 	case !fol.log.ok:
 		return core.CodeLogDown, "the log can't be read"
+	case !fol.ready:
+		return core.CodeNotReady, "the state has not caught up"
 	}
 	return core.CodeOK, ""
 }
@@ -217,7 +222,7 @@
 	fol.hashes.note(sta.Offset(), sta.Hash())
 	fol.gap = 0
 	fol.scan = nil
-	fol.ready = true
+	fol.adopted = true
 	fol.settleAdopted()
 	fol.do(Publish{})
 	return true
--- a/core/tail/lanes.go
+++ b/core/tail/lanes.go
@@ -29,6 +29,10 @@
 	want   bool
 }
 
+// startPeers is the number of peers that a starting follower asks, if it has
+// as many.
+const startPeers = 4
+
 // backoff returns the time before the try that follows fails failures.
 func backoff(tim Timings, fails int) time.Duration {
 	dur := tim.RetryMin
@@ -159,18 +163,33 @@
 	if lan.busy || fol.tick.Peers == 0 || fol.now.Before(lan.nextAt) || fol.sta.Err() != nil {
 		return
 	}
-	starting := fol.sta.Offset() == 0 && !fol.ready && lan.asked < fol.tick.Peers
-	if starting || lan.want {
+	starting := !fol.ready && lan.asked < fol.quorum()
+	switch {
+	case lan.want || (starting && fol.sta.Offset() == 0):
 		lan.busy = true
 		lan.asked++
 		fol.do(AskState{Peer: fol.turn()})
-		return
+	case starting || fol.logSilent():
+		lan.busy = true
+		lan.asked++
+		fol.do(ReadPeer{Peer: fol.turn(), From: fol.sta.Offset() + 1, Max: fol.cfg.Timings.PageMax})
 	}
-	if !fol.logSilent() {
+}
+
+// quorum returns how many peers are asked before a state that came from a peer
+// counts as new enough to start with.
+func (fol *Follower) quorum() int { return min(fol.tick.Peers, startPeers) }
+
+// startWithoutLog makes the follower ready on what its peers gave it: a state,
+// at least as new as any offset that a peer is known to have reached, after
+// enough of them were asked. A process that starts while the log is out must
+// not serve an older state than the one before it did.
+func (fol *Follower) startWithoutLog() {
+	if fol.ready || !fol.adopted || fol.peers.busy || fol.peers.asked < fol.quorum() || fol.sta.Offset() < fol.seen {
 		return
 	}
-	lan.busy = true
-	fol.do(ReadPeer{Peer: fol.turn(), From: fol.sta.Offset() + 1, Max: fol.cfg.Timings.PageMax})
+	fol.ready = true
+	fol.do(Publish{})
 }
 
 // turn returns the next peer in turn.
@@ -181,6 +200,7 @@
 
 func (fol *Follower) peerRead(evt PeerRead) {
 	fol.peers.busy = false
+	defer fol.startWithoutLog()
 	fol.peers.nextAt = fol.now.Add(fol.cfg.Timings.RelayEvery)
 	if core.CodeOf(evt.Err) == core.CodeLogGap {
 		fol.askAll()
@@ -198,6 +218,7 @@
 
 func (fol *Follower) stateRead(evt StateRead) {
 	fol.peers.busy = false
+	defer fol.startWithoutLog()
 	fol.peers.nextAt = fol.now.Add(fol.cfg.Timings.RelayEvery)
 	if fol.peers.asked >= fol.tick.Peers {
 		fol.peers.want = false
--- a/io/logs/client.go
+++ b/io/logs/client.go
@@ -82,11 +82,10 @@
 		return 0, core.Errorf(core.CodeLogRefused, "append %s: the call had ended before it was made", id)
 	}
 	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(cli.base + "/v1/append?id=" + url.QueryEscape(string(id)))
 	req.Header.SetContentType("application/octet-stream")
-	req.SetBodyRaw(data)
+	req.SetBody(data)
 	cod, ans, err := cli.do(ctx, req)
 	switch {
 	case notSent(err):
@@ -110,7 +109,6 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+defaultBound)
 	defer cancel()
 	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(cli.readURL(from, max, wait))
 	cod, ans, err := cli.do(ctx, req)
 	pag := core.Page{First: ans.First, Next: ans.Next}
@@ -136,21 +134,47 @@
 	return cli.base + "/v1/read?" + qry.Encode()
 }
 
-// do performs one call and decodes its answer. A status with a body that is
-// not JSON is no error: the status decides.
+type result struct {
+	status int
+	ans    answer
+	err    error
+}
+
+// do performs one call, which owns req, and gives up waiting for it when ctx
+// ends. After a call that failed, no connection that was open is used again:
+// it may be silent for good.
 func (cli *Client) do(ctx context.Context, req *fasthttp.Request) (int, answer, error) {
+	got := make(chan result, 1)
+	end := deadline(ctx)
+	go func() { got <- cli.call(req, end) }()
+	var res result
+	select {
+	case res = <-got:
+	case <-ctx.Done():
+		res.err = eris.Wrap(ctx.Err(), "call of the log service")
+	}
+	if res.err != nil {
+		cli.cli.CloseIdleConnections()
+	}
+	return res.status, res.ans, res.err
+}
+
+// call performs one call and decodes its answer. A status with a body that is
+// not JSON is no error: the status decides.
+func (cli *Client) call(req *fasthttp.Request, end time.Time) result {
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
-	err := cli.cli.DoDeadline(req, res, deadline(ctx))
+	defer fasthttp.ReleaseRequest(req)
+	err := cli.cli.DoDeadline(req, res, end)
 	if err != nil {
-		return 0, answer{}, eris.Wrap(err, "call of the log service")
+		return result{err: eris.Wrap(err, "call of the log service")}
 	}
-	var ans answer
-	err = json.Unmarshal(res.Body(), &ans)
-	if err != nil && res.StatusCode() == fasthttp.StatusOK {
-		return 0, answer{}, eris.Wrap(err, "answer of the log service")
+	out := result{status: res.StatusCode()}
+	err = json.Unmarshal(res.Body(), &out.ans)
+	if err != nil && out.status == fasthttp.StatusOK {
+		return result{err: eris.Wrap(err, "answer of the log service")}
 	}
-	return res.StatusCode(), ans, nil
+	return out
 }
 
 func deadline(ctx context.Context) time.Time {
--- a/store/logfk/logfk.go
+++ b/store/logfk/logfk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,12 +71,31 @@
 
 func (lgs *Log) add(id core.RecordID, data []byte) core.Offset {
 	off := lgs.next()
-	lgs.entries = append(lgs.entries, core.Entry{Offset: off, ID: id, At: lgs.now(), Data: data})
+	lgs.entries = append(lgs.entries, core.Entry{Offset: off, ID: id, At: lgs.now(), Data: slices.Clone(data)})
 	close(lgs.grown)
 	lgs.grown = make(chan struct{})
 	return off
 }
 
+// Since returns the kept entries from an offset on, whatever the faults are.
+func (lgs *Log) Since(from core.Offset) []core.Entry {
+	lgs.mut.Lock()
+	defer lgs.mut.Unlock()
+	from = max(from, lgs.first)
+	if from >= lgs.next() {
+		return nil
+	}
+	return copies(lgs.entries[from-lgs.first:])
+}
+
+func copies(ents []core.Entry) []core.Entry {
+	out := slices.Clone(ents)
+	for idx := range out {
+		out[idx].Data = slices.Clone(out[idx].Data)
+	}
+	return out
+}
+
 // page returns the entries from an offset on, and a channel that is closed at
 // the next append.
 func (lgs *Log) page(from core.Offset, max int) (core.Page, <-chan struct{}, error) {
@@ -90,7 +110,7 @@
 	}
 	if from < pag.Next {
 		ents := lgs.entries[from-lgs.first:]
-		pag.Entries = append(pag.Entries, ents[:min(max, len(ents))]...)
+		pag.Entries = copies(ents[:min(max, len(ents))])
 	}
 	return pag, lgs.grown, nil
 }
