--- a/io/wire/conn.go
+++ b/io/wire/conn.go
@@ -26,6 +26,8 @@
 	silence time.Duration
 	gen     uint64
 	sent    int64
+	got     int64
+	silent  bool
 	reused  bool
 	idleAt  time.Time
 }
@@ -43,7 +45,10 @@
 	if err != nil {
 		return 0, err
 	}
-	return con.raw.Read(buf)
+	num, err := con.raw.Read(buf)
+	con.got += int64(num)
+	con.noteSilence(err)
+	return num, err
 }
 
 // Write writes to the connection, waits at most the silence bound, and counts
@@ -55,9 +60,18 @@
 	}
 	num, err := con.raw.Write(buf)
 	con.sent += int64(num)
+	con.noteSilence(err)
 	return num, err
 }
 
+// noteSilence remembers that the silence bound was reached: the codec does not
+// hand on the error of the connection.
+func (con *conn) noteSilence(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		con.silent = true
+	}
+}
+
 // send writes the request.
 func (con *conn) send(req *fasthttp.Request) error {
 	err := req.Write(con.wtr)
@@ -108,7 +122,7 @@
 	case cause != nil:
 		code = core.CodeUnknownOutcome
 		err = cause
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case con.silent:
 		code = core.CodeSilent
 	}
 	return eris.Wrap(core.Errorf(code, "%v", err), con.raw.RemoteAddr().String())
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -76,7 +74,7 @@
 		return bod, con.reused, nil
 	}
 	code := core.CodeCutAnswer
-	if nothingRead(err) {
+	if con.got == 0 {
 		code = core.CodeUnknownOutcome
 	}
 	err = con.fault(ctx, err, code)
@@ -129,10 +127,15 @@
 // write sends the request over con. It closes con if that fails.
 func (poo *Pool) write(ctx context.Context, con *conn, exc Exchange) (func() bool, error) {
 	con.sent = 0
+	con.got = 0
 	con.silence = poo.cfg.Silence
 	if exc.Silence > 0 {
 		con.silence = exc.Silence
 	}
+	if ctx.Err() != nil {
+		con.close()
+		return nil, con.fault(ctx, context.Cause(ctx), core.CodeUnknownOutcome)
+	}
 	stop := context.AfterFunc(ctx, con.close)
 	err := con.send(exc.Req)
 	if err != nil {
@@ -194,8 +197,3 @@
 		poo.Drop()
 	}
 }
-
-func nothingRead(err error) bool {
-	var non fasthttp.ErrNothingRead
-	return errors.As(err, &non) || errors.Is(err, io.EOF)
-}
