Prove that planned stops cut no request

Cause: nothing showed that a stop lets requests end. Sockets are opened when the node is built. The callers' server cancels what is left when it ends, so that nothing outlives Run in a program that embeds a node.

--- a/io/front/complete.go
+++ b/io/front/complete.go
@@ -101,7 +101,7 @@
 
 // start runs job in a task of its own, bounded by its deadline.
 func (srv *Server) start(job core.Job) *running {
-	ctx, cancel := context.WithDeadline(context.Background(), job.Deadline)
+	ctx, cancel := context.WithDeadline(srv.ctx, job.Deadline)
 	run := &running{
 		job:    job,
 		parts:  make(chan core.Part, partBuffer),
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -57,11 +57,14 @@
 	now func() time.Time
 	srv *fasthttp.Server
 	res *expvar.Map
+	ctx context.Context
+	cut context.CancelFunc
 }
 
 // New returns a server. Counters of results by code go to met.
 func New(cfg Config, bck Backend, log *logrus.Logger, met *expvar.Map, now func() time.Time) *Server {
-	srv := &Server{cfg: cfg, bck: bck, log: log, now: now, res: met}
+	ctx, cut := context.WithCancel(context.Background())
+	srv := &Server{cfg: cfg, bck: bck, log: log, now: now, res: met, ctx: ctx, cut: cut}
 	rou := router.New()
 	rou.POST("/v1/completions", srv.completions)
 	rou.POST("/v1/chat/completions", srv.chat)
@@ -85,9 +88,12 @@
 // Serve takes connections from lis until Shutdown.
 func (srv *Server) Serve(lis net.Listener) error { return srv.srv.Serve(lis) }
 
-// Shutdown stops taking connections and waits until the open requests are
-// done or ctx ends.
-func (srv *Server) Shutdown(ctx context.Context) error { return srv.srv.ShutdownWithContext(ctx) }
+// Shutdown stops taking connections, waits until the open requests are done or
+// ctx ends, and cancels the jobs that are left.
+func (srv *Server) Shutdown(ctx context.Context) error {
+	defer srv.cut()
+	return srv.srv.ShutdownWithContext(ctx)
+}
 
 // live answers as long as the process runs.
 func (srv *Server) live(rqc *fasthttp.RequestCtx) {
--- a/node/build.go
+++ b/node/build.go
@@ -40,13 +40,15 @@
 // metricsName is the name of the node's expvar map.
 const metricsName = "kumquathinge"
 
-// Build wires a node. Its error has the provider that failed.
+// Build wires a node and opens its sockets. Its error carries
+// core.CodeListenFailed if an address can't be listened on, and
+// core.CodeConfigInvalid for a wrong operator.
 func Build(cfg Config, log *logrus.Logger) (*Node, error) {
 	con := dig.New()
 	for _, prv := range []any{
 		func() (Config, *logrus.Logger) { return cfg, log },
 		func() func() time.Time { return time.Now },
-		newMetrics, newStopper, newFacts, newPlatform, newListTask, newBeatTask,
+		newMetrics, newStopper, newListeners, newFacts, newPlatform, newListTask, newBeatTask,
 		newStore, newWorlds, newGate, newProbeTask, newQueue, newJobs,
 		newControl, newLimiter, newFront, newAdmin, newOperators, newNode,
 	} {
@@ -56,18 +58,21 @@
 	}
 	var nod *Node
 	err := con.Invoke(func(got *Node) { nod = got })
-	return nod, eris.Wrap(err, "wiring")
+	if err != nil {
+		return nil, eris.Wrap(dig.RootCause(err), "wiring")
+	}
+	return nod, nil
 }
 
 // newMetrics returns the node's map of counters.
 func newMetrics() *expvar.Map { return new(expvar.Map).Init() }
 
 // newFacts returns what the start file says of the node.
-func newFacts(cfg Config) *facts {
+func newFacts(cfg Config, lis *listeners) *facts {
 	return &facts{base: core.Beat{
 		Node: cfg.Node,
 		Zone: cfg.Zone,
-		Addr: cfg.Listen.Peers,
+		Addr: lis.peers.Addr().String(),
 		Run:  core.Incarnation(uuid.NewString()),
 	}}
 }
--- a/node/meter.go
+++ b/node/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"net/http"
 
 	"kumquathinge/core"
@@ -15,14 +16,21 @@
 	nod.met.Set("open_requests", expvar.Func(func() any { return nod.stp.count() }))
 	nod.met.Set("groups_serving", expvar.Func(func() any { return nod.serving() }))
 	nod.met.Set("queue", nod.que.Stats())
-	if expvar.Get(metricsName) == nil {
-		expvar.Publish(metricsName, nod.met)
-	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", nod.writeMetrics)
 	return mux
 }
 
+// writeMetrics writes the process's variables and the node's own map as JSON.
+func (nod *Node) writeMetrics(wri http.ResponseWriter, _ *http.Request) {
+	wri.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = fmt.Fprintf(wri, "{%q: %s", metricsName, nod.met)
+	expvar.Do(func(kvl expvar.KeyValue) {
+		_, _ = fmt.Fprintf(wri, ",\n%q: %s", kvl.Key, kvl.Value)
+	})
+	_, _ = fmt.Fprint(wri, "}\n")
+}
+
 // serving counts the zone's groups that may get work now.
 func (nod *Node) serving() int {
 	now := nod.jbs.now()
--- a/node/node.go
+++ b/node/node.go
@@ -44,31 +44,27 @@
 	fro *front.Server
 	ope *fasthttp.Server
 	fac *facts
+	lis *listeners
 }
 
 // newNode collects the parts.
 func newNode(
 	cfg Config, log *logrus.Logger, met *expvar.Map, stp *stopper, lst *lister,
 	bet *beater, prb *prober, ctl *controller, lim *limiter, sto *store.Store,
-	que *queue.Queue, jbs *jobs, wls *worlds, fro *front.Server, ope *fasthttp.Server, fac *facts,
+	que *queue.Queue, jbs *jobs, wls *worlds, fro *front.Server, ope *fasthttp.Server, fac *facts, lis *listeners,
 ) *Node {
 	return &Node{
 		cfg: cfg, log: log, met: met, stp: stp, lst: lst,
 		bet: bet, prb: prb, ctl: ctl, lim: lim, sto: sto,
-		que: que, jbs: jbs, wls: wls, fro: fro, ope: ope, fac: fac,
+		que: que, jbs: jbs, wls: wls, fro: fro, ope: ope, fac: fac, lis: lis,
 	}
 }
 
 // Run runs the node until ctx ends and then stops it gracefully: it turns
 // unready, goes on serving, refuses new requests, waits for those in progress
-// and then ends every task. Its error carries core.CodeListenFailed if an
-// address can't be listened on, and core.CodeStopBound if the stop cut
-// requests.
+// and then ends every task. Its error carries core.CodeStopBound if the stop
+// cut requests. Run must be called once.
 func (nod *Node) Run(ctx context.Context) error {
-	lis, err := nod.listen()
-	if err != nil {
-		return err
-	}
 	var grp run.Group
 	for _, tsk := range []func(context.Context) error{
 		nod.lst.run, nod.bet.run, nod.sto.Run, nod.prb.run,
@@ -76,10 +72,10 @@
 	} {
 		addTask(&grp, tsk)
 	}
-	nod.addServers(&grp, lis)
+	nod.addServers(&grp, nod.lis)
 	grp.Add(func() error { return nod.stop(ctx) }, func(error) {})
 	nod.log.WithFields(logrus.Fields{"event": "start", "node": nod.cfg.Node, "zone": nod.cfg.Zone}).Info("node started")
-	err = grp.Run()
+	err := grp.Run()
 	nod.log.WithFields(logrus.Fields{"event": "stop", "node": nod.cfg.Node, "code": core.CodeOf(err)}).Info("node stopped")
 	return err
 }
@@ -90,35 +86,8 @@
 	grp.Add(func() error { return tsk(ctx) }, func(error) { cancel() })
 }
 
-// listeners are the node's listening sockets.
-type listeners struct {
-	callers, operators, peers, metrics net.Listener
-}
-
-// listen opens the sockets.
-func (nod *Node) listen() (listeners, error) {
-	var lis listeners
-	adr := nod.cfg.Listen
-	for _, itm := range []struct {
-		addr string
-		to   *net.Listener
-	}{
-		{adr.Callers, &lis.callers},
-		{adr.Operators, &lis.operators},
-		{adr.Peers, &lis.peers},
-		{adr.Metrics, &lis.metrics},
-	} {
-		got, err := net.Listen("tcp", itm.addr)
-		if err != nil {
-			return lis, core.Errorf(core.CodeListenFailed, "listen on %s: %v", itm.addr, err)
-		}
-		*itm.to = got
-	}
-	return lis, nil
-}
-
 // addServers adds the servers for callers, operators, peers and metrics.
-func (nod *Node) addServers(grp *run.Group, lis listeners) {
+func (nod *Node) addServers(grp *run.Group, lis *listeners) {
 	grp.Add(func() error { return nod.fro.Serve(lis.callers) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- /dev/null
+++ b/node/nodets/system.go
@@ -0,0 +1,256 @@
+package nodets
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"kumquathinge/core"
+	"kumquathinge/node"
+	"kumquathinge/stand"
+)
+
+// Names in a System.
+const (
+	Key     = "caller-key"
+	Org     = core.OrgName("andes")
+	Model   = "alerts"
+	Service = "fees"
+
+	enginesPerZone = 4
+	groupSize      = 2
+	awaitBound     = 60 * time.Second
+	pollDelay      = 10 * time.Millisecond
+)
+
+// Zones of a System in order.
+var Zones = []core.Zone{"z1", "z2", "z3"}
+
+// Config varies a System. Zero fields take their defaults.
+type Config struct {
+	// Engine is the template of every engine.
+	Engine stand.EngineConfig
+	// Groups has the zone of each group of the model; the default is one in
+	// the first and one in the second zone.
+	Groups map[string]core.Zone
+	// Settings are applied beside the default ones, by path and key.
+	Settings map[string]map[string]any
+	// Verbose writes the log of the entry VMs to the test's output.
+	Verbose bool
+}
+
+// Member is an entry VM of a System.
+type Member struct {
+	Name  core.NodeName
+	Zone  core.Zone
+	Node  *node.Node
+	Addrs node.Listen
+
+	stop context.CancelFunc
+	done chan error
+}
+
+// System is a set of entry VMs and stand-ins.
+type System struct {
+	Log     *stand.Log
+	List    *stand.VMs
+	Engines map[core.VMName]*stand.Engine
+	Plain   *stand.Plain
+	Members []*Member
+
+	tst testing.TB
+	cfg Config
+	vms []core.VM
+}
+
+// Start starts a System and waits until every group serves. It ends with the
+// test.
+func Start(tst testing.TB, cfg Config) *System {
+	tst.Helper()
+	if cfg.Groups == nil {
+		cfg.Groups = map[string]core.Zone{"alerts-1": "z1", "alerts-2": "z2"}
+	}
+	sys := &System{
+		Log:     stand.NewLog(),
+		Engines: make(map[core.VMName]*stand.Engine),
+		Plain:   stand.NewPlain("fees-1"),
+		tst:     tst,
+		cfg:     cfg,
+	}
+	sys.startStandIns()
+	for idx, zon := range []core.Zone{"z1", "z1", "z2", "z3"} {
+		sys.AddMember(core.NodeName(fmt.Sprintf("e%d", idx+1)), zon)
+	}
+	sys.configure()
+	sys.AwaitServing(len(cfg.Groups))
+	return sys
+}
+
+// server is a stand-in.
+type server interface {
+	Start(addr string) error
+	Addr() string
+	Close() error
+}
+
+// start starts a stand-in until the test ends.
+func (sys *System) start(srv server) {
+	sys.tst.Helper()
+	assert.NilError(sys.tst, srv.Start("127.0.0.1:0"))
+	sys.tst.Cleanup(func() { _ = srv.Close() })
+}
+
+// startStandIns starts all stand-ins.
+func (sys *System) startStandIns() {
+	sys.tst.Helper()
+	sys.start(sys.Log)
+	sys.start(sys.Plain)
+	for zdx, zon := range Zones {
+		for idx := range enginesPerZone {
+			sys.addEngine(core.VMName(fmt.Sprintf("vm-%d", zdx*enginesPerZone+idx)), zon, idx/groupSize)
+		}
+	}
+	sys.vms = append(sys.vms, core.VM{
+		Name: "fees-1", Addr: sys.Plain.Addr(), Zone: Zones[0], Kind: core.VMPlain, Service: Service,
+	})
+	sys.List = stand.NewVMs(sys.vms...)
+	sys.start(sys.List)
+}
+
+// addEngine starts an engine and lists it.
+func (sys *System) addEngine(nam core.VMName, zon core.Zone, dom int) {
+	sys.tst.Helper()
+	cfg := sys.cfg.Engine
+	cfg.VM = nam
+	cfg.Fencing = true
+	eng := stand.NewEngine(cfg)
+	sys.start(eng)
+	sys.Engines[nam] = eng
+	sys.vms = append(sys.vms, core.VM{
+		Name:   nam,
+		Addr:   eng.Addr(),
+		Zone:   zon,
+		Domain: core.Domain(fmt.Sprintf("%s-d%d", zon, dom)),
+		Kind:   core.VMEngine,
+	})
+}
+
+// AddMember starts an entry VM.
+func (sys *System) AddMember(nam core.NodeName, zon core.Zone) *Member {
+	sys.tst.Helper()
+	var seeds []string
+	for _, mem := range sys.Members {
+		seeds = append(seeds, mem.Addrs.Peers)
+	}
+	any := "127.0.0.1:0"
+	log := logrus.New()
+	if !sys.cfg.Verbose {
+		log.SetOutput(io.Discard)
+	}
+	nod, err := node.Build(node.Config{
+		Node:   nam,
+		Zone:   zon,
+		Listen: node.Listen{Callers: any, Operators: any, Peers: any, Metrics: any},
+		Log:    sys.Log.Addr(),
+		VMs:    sys.List.Addr(),
+		Seeds:  seeds,
+	}, log)
+	assert.NilError(sys.tst, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	mem := &Member{Name: nam, Zone: zon, Node: nod, Addrs: nod.Addrs(), stop: cancel, done: make(chan error, 1)}
+	go func() { mem.done <- nod.Run(ctx) }()
+	sys.Members = append(sys.Members, mem)
+	sys.tst.Cleanup(func() {
+		mem.stop()
+		_ = mem.Wait()
+	})
+	return mem
+}
+
+// Stop begins the planned stop of an entry VM.
+func (mem *Member) Stop() { mem.stop() }
+
+// Wait waits until the entry VM has stopped and returns what it ended with.
+func (mem *Member) Wait() error {
+	err := <-mem.done
+	mem.done <- err
+	return err
+}
+
+// configure applies the settings.
+func (sys *System) configure() {
+	sys.tst.Helper()
+	sum := sha256.Sum256([]byte(Key))
+	sys.Set("/orgs/"+string(Org), "org.key_hashes", []string{hex.EncodeToString(sum[:])})
+	sys.Set("/", "vm.fencing", true)
+	sys.Set("/services/"+Service, "service.enabled", true)
+	for pth, kvs := range sys.cfg.Settings {
+		for key, val := range kvs {
+			sys.Set(pth, key, val)
+		}
+	}
+	mod := "/models/" + Model
+	sys.Set(mod, "model.version", "v1")
+	sys.Set(mod, "group.size", groupSize)
+	for grp, zon := range sys.cfg.Groups {
+		sys.Set(mod+"/groups/"+grp, "group.zone", zon)
+	}
+	sys.Set(mod, "group.enabled", true)
+}
+
+// Set changes a setting through the first entry VM that answers and waits
+// until it is accepted.
+func (sys *System) Set(pth, key string, val any) {
+	sys.tst.Helper()
+	raw, err := json.Marshal(val)
+	assert.NilError(sys.tst, err)
+	sys.Await(func(poll.LogT) poll.Result {
+		err := sys.TrySet(sys.Members[0], pth, key, raw)
+		if err != nil {
+			return poll.Continue("%s %s: %v", pth, key, err)
+		}
+		return poll.Success()
+	})
+}
+
+// Await waits until the check succeeds.
+func (sys *System) Await(chk poll.Check) {
+	sys.tst.Helper()
+	poll.WaitOn(sys.tst, chk, poll.WithDelay(pollDelay), poll.WithTimeout(awaitBound))
+}
+
+// AwaitServing waits until every entry VM is ready and so many groups of the
+// model serve.
+func (sys *System) AwaitServing(num int) {
+	sys.tst.Helper()
+	sys.Await(func(poll.LogT) poll.Result {
+		got := 0
+		for _, mem := range sys.Members {
+			sta, err := sys.Status(mem)
+			if err != nil || !sta.Ready {
+				return poll.Continue("%s is not ready: %v", mem.Name, err)
+			}
+			if mem.Name == "e2" {
+				continue
+			}
+			for _, grp := range sta.Groups {
+				if grp.Serving {
+					got++
+				}
+			}
+		}
+		if got < num {
+			return poll.Continue("%d of %d groups serve", got, num)
+		}
+		return poll.Success()
+	})
+}
