--- /dev/null
+++ b/core/fold/fold_test.go
@@ -0,0 +1,314 @@
+package fold_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/core/fold"
+	"kumquathinge/core/recd"
+)
+
+var start = time.Unix(1_800_000_000, 0).UTC()
+
+// entry returns a log entry with the records, which get IDs if they have none.
+func entry(off core.Offset, at time.Time, recs ...recd.Record) core.Entry {
+	for idx := range recs {
+		if recs[idx].ID == "" {
+			recs[idx].ID = core.RecordID(fmt.Sprintf("r%d.%d", off, idx))
+		}
+	}
+	return core.Entry{Offset: off, At: at, Data: recd.Encode(recd.Batch{Version: recd.Version, Records: recs})}
+}
+
+func set(pth, key, raw string, base core.Offset) recd.Record {
+	return recd.Record{By: "ana", Setting: &recd.Setting{Path: pth, Key: key, Value: []byte(raw), Base: base}}
+}
+
+func assign(grp core.GroupName, base core.Offset, vms ...core.VMName) recd.Record {
+	return recd.Record{By: "n1", Assign: &recd.Assign{
+		Group: grp, Zone: "z1", Domain: "d1", VMs: vms, Spec: core.Spec{Model: "m1", Version: "1"}, Base: base,
+	}}
+}
+
+func retire(grp core.GroupName, base core.Offset) recd.Record {
+	return recd.Record{By: "n1", Retire: &recd.Retire{Group: grp, Base: base, Reason: "test"}}
+}
+
+func unload(grp core.GroupName, base core.Offset, vms ...core.VMName) recd.Record {
+	return recd.Record{By: "n1", Unload: &recd.Unload{Group: grp, Base: base, VMs: vms}}
+}
+
+func claim(key core.RequestKey, iss time.Time, dig uint64, by core.NodeName) recd.Record {
+	return recd.Record{By: string(by), Claim: &recd.Claim{Org: "o1", Key: key, Issued: iss, Digest: dig, Holder: by}}
+}
+
+func result(key core.RequestKey, at core.Offset, unk bool, by string) recd.Record {
+	return recd.Record{By: by, Result: &recd.Result{
+		Org: "o1", Key: key, Claim: at, Unknown: unk, Reply: core.Reply{Status: 200, Body: []byte("ok")},
+	}}
+}
+
+func release(key core.RequestKey, at core.Offset, by string) recd.Record {
+	return recd.Record{By: by, Release: &recd.Release{Org: "o1", Key: key, Claim: at}}
+}
+
+func rule(num uint16) recd.Record {
+	return recd.Record{By: "ana", Rule: &recd.Rule{Number: num}}
+}
+
+// step is one entry with one record and the code of its verdict.
+type step struct {
+	rec  recd.Record
+	want core.Code
+	at   time.Duration
+}
+
+func TestVerdicts(tst *testing.T) {
+	const window = 10*time.Minute + 5*time.Second
+	ok := core.CodeOK
+	for _, cas := range []struct {
+		name  string
+		steps []step
+	}{
+		{"settings", []step{
+			{rec: set("/", "queue.depth", "7", 0), want: ok},
+			{rec: set("/", "queue.depth", "8", 0), want: core.CodeSettingRaced},
+			{rec: set("/", "org.priority", "3", 1), want: ok},
+			{rec: set("/", "queue.depth", "-1", 3), want: core.CodeSettingInvalid},
+			{rec: set("/", "queue.deep", "1", 3), want: core.CodeSettingUnknown},
+			{rec: set("/racks/r1", "queue.depth", "1", 0), want: core.CodeNoSuchNode},
+			{rec: set("/orgs/o1", "org.priority", "", 0), want: ok},
+			{rec: set("/orgs/o1", "org.priority", "4", 0), want: core.CodeSettingRaced},
+		}},
+		{"a group's life", []step{
+			{rec: assign("g1", 0, "v1", "v2"), want: ok},
+			{rec: assign("g1", 1, "v3"), want: core.CodeNotRetired},
+			{rec: assign("g2", 0, "v2"), want: core.CodeVMHeld},
+			{rec: unload("g1", 1, "v1"), want: core.CodeNotRetired},
+			{rec: retire("g1", 9), want: core.CodeGeneration},
+			{rec: retire("g9", 0), want: core.CodeGroupUnknown},
+			{rec: retire("g1", 1), want: ok},
+			{rec: retire("g1", 1), want: core.CodeGeneration},
+			{rec: assign("g1", 1, "v1"), want: core.CodeVMHeld},
+			{rec: unload("g1", 1, "v1", "v9"), want: core.CodeGeneration},
+			{rec: unload("g1", 1, "v1"), want: ok},
+			{rec: assign("g1", 0, "v1"), want: core.CodeGeneration},
+			{rec: assign("g1", 1, "v1", "v3"), want: ok},
+			{rec: assign("g2", 0, "v2"), want: core.CodeVMHeld},
+			{rec: unload("g1", 13, "v1"), want: core.CodeNotRetired},
+			{rec: unload("g1", 13, "v2"), want: core.CodeNotRetired},
+			{rec: unload("g1", 1, "v1"), want: core.CodeGeneration},
+			{rec: unload("g1", 1, "v2", "v2"), want: ok},
+			{rec: assign("g2", 0, "v2"), want: ok},
+			{rec: assign("g3", 0, "v5", "v5"), want: core.CodeRecordBad},
+			{rec: assign("g3", 0), want: core.CodeRecordBad},
+		}},
+		{"claims", []step{
+			{rec: claim("k", start, 1, "n1"), want: ok},
+			{rec: claim("k", start, 1, "n2"), want: core.CodeClaimTaken},
+			{rec: claim("k", start, 2, "n2"), want: core.CodeKeyMismatch},
+			{rec: result("k", 1, true, "n2"), want: core.CodeClaimNotHolder},
+			{rec: result("k", 2, true, "n1"), want: core.CodeClaimNotHolder},
+			{rec: result("k", 1, true, "n1"), want: ok},
+			{rec: release("k", 1, "n1"), want: core.CodeClaimTaken},
+			{rec: result("k", 1, false, "n1"), want: ok},
+			{rec: result("k", 1, true, "n1"), want: core.CodeClaimTaken},
+			{rec: claim("free", start, 1, "n1"), want: ok},
+			{rec: release("free", 10, "n2"), want: core.CodeClaimNotHolder},
+			{rec: release("free", 10, "n1"), want: ok},
+			{rec: claim("free", start, 1, "n2"), want: ok},
+			{rec: release("free", 10, "n1"), want: core.CodeClaimNotHolder},
+			{rec: claim("", start, 1, "n1"), want: core.CodeRecordBad},
+		}},
+		{"the window of claims", []step{
+			{rec: claim("old", start.Add(-window), 1, "n1"), want: ok},
+			{rec: claim("older", start.Add(-window-1), 1, "n1"), want: core.CodeKeyExpired},
+			{rec: claim("early", start.Add(5*time.Second), 1, "n1"), want: ok},
+			{rec: claim("earlier", start.Add(5*time.Second+1), 1, "n1"), want: core.CodeBadRequest},
+			{rec: claim("k", start, 1, "n1"), want: ok},
+			{rec: claim("k", start, 1, "n2"), want: core.CodeClaimTaken, at: window},
+			{rec: claim("k", start, 1, "n2"), want: core.CodeKeyExpired, at: window + 1},
+			// An entry with an older time does not bring the window back.
+			{rec: claim("k", start, 1, "n2"), want: core.CodeKeyExpired},
+			// Nor does a longer window.
+			{rec: set("/", "once.window", `"1h"`, 0), want: ok},
+			{rec: claim("k", start, 1, "n2"), want: core.CodeKeyExpired},
+			{rec: claim("late", start.Add(time.Minute), 1, "n2"), want: ok},
+			// A resend with a later issue time keeps the key for longer.
+			{rec: claim("late", start.Add(9*time.Minute), 1, "n2"), want: core.CodeClaimTaken},
+			{rec: claim("late", start.Add(9*time.Minute), 1, "n2"), want: core.CodeClaimTaken, at: 65 * time.Minute},
+		}},
+		{"a rule is in force from its record on", []step{
+			{rec: set("/", "group.size", "2", 0), want: ok},
+			{rec: assign("g1", 0, "v1"), want: ok},
+			{rec: rule(fold.RuleGroupSettings), want: ok},
+			{rec: rule(fold.RuleGroupSettings), want: core.CodeRuleUnknown},
+			{rec: assign("g2", 0, "v2"), want: core.CodeGeneration},
+			{rec: set("/models/m1", "group.domain", `"d2"`, 0), want: ok},
+			{rec: assign("g2", 0, "v2", "v3"), want: core.CodeMixedDomain},
+			{rec: set("/models/m1/groups/g2", "group.domain", `"d1"`, 0), want: ok},
+			{rec: assign("g2", 0, "v2", "v3"), want: ok},
+		}},
+		{"repeats and empty records", []step{
+			{rec: recd.Record{ID: "x", Setting: set("/", "queue.depth", "7", 0).Setting}, want: ok},
+			{rec: recd.Record{ID: "x", Setting: set("/", "queue.depth", "8", 1).Setting}, want: core.CodeDuplicateRecord},
+			{rec: recd.Record{}, want: core.CodeRecordBad},
+			{rec: recd.Record{Rule: &recd.Rule{Number: 1}, Retire: &recd.Retire{}}, want: core.CodeRecordBad},
+		}},
+	} {
+		tst.Run(cas.name, func(tst *testing.T) {
+			sta := fold.New()
+			for idx, stp := range cas.steps {
+				off := core.Offset(idx + 1)
+				vers := sta.Apply(entry(off, start.Add(stp.at), stp.rec))
+				assert.Equal(tst, len(vers), 1)
+				assert.Equal(tst, vers[0].Code, stp.want, "entry %d: %s", off, vers[0].Detail)
+				sta = reread(tst, sta)
+			}
+		})
+	}
+}
+
+// reread returns the state after a round trip through its encoding, which
+// also compares the hash kept up to date with one made anew.
+func reread(tst *testing.T, sta *fold.State) *fold.State {
+	tst.Helper()
+	data := sta.Encode()
+	out, err := fold.Decode(data)
+	assert.NilError(tst, err)
+	assert.Equal(tst, out.Hash(), sta.Hash())
+	assert.DeepEqual(tst, out.Encode(), data)
+	return out
+}
+
+// TestForeignEntries: what no program wrote is passed over by all alike, what a
+// newer one wrote stops the fold before it.
+func TestForeignEntries(tst *testing.T) {
+	mustCBOR := func(val any) []byte {
+		out, err := cbor.Marshal(val)
+		assert.NilError(tst, err)
+		return out
+	}
+	for _, cas := range []struct {
+		name string
+		data []byte
+		stop core.Code
+	}{
+		{"empty", nil, core.CodeOK},
+		{"text", []byte("hello"), core.CodeOK},
+		{"no version", mustCBOR(map[int]any{2: []any{}}), core.CodeOK},
+		{"field that the version does not have", mustCBOR(map[int]any{1: 1, 2: []any{}, 3: 1}), core.CodeOK},
+		{"record field that the version does not have", mustCBOR(map[int]any{1: 1, 2: []any{map[int]any{1: "x", 99: 1}}}), core.CodeOK},
+		{"newer version", mustCBOR(map[int]any{1: recd.Version + 1, 7: "?"}), core.CodeRecordBad},
+		{"newer rule", entry(2, start, rule(fold.Newest.Rules+1)).Data, core.CodeRuleUnknown},
+	} {
+		tst.Run(cas.name, func(tst *testing.T) {
+			sta := fold.New()
+			sta.Apply(entry(1, start, set("/", "queue.depth", "7", 0)))
+			hash := sta.Hash()
+			vers := sta.Apply(core.Entry{Offset: 2, ID: "e", At: start, Data: cas.data})
+			assert.Equal(tst, core.CodeOf(sta.Err()), cas.stop)
+			if cas.stop != core.CodeOK {
+				assert.Equal(tst, len(vers), 0)
+				assert.Equal(tst, sta.Hash(), hash)
+				assert.Equal(tst, sta.Offset(), core.Offset(1))
+				assert.Assert(tst, sta.Apply(entry(2, start)) == nil, "the fold went on")
+				return
+			}
+			assert.Equal(tst, vers[0].Code, core.CodeRecordBad)
+			assert.Equal(tst, sta.Offset(), core.Offset(2))
+		})
+	}
+}
+
+func TestEntryOutOfTurn(tst *testing.T) {
+	sta := fold.New()
+	for _, off := range []core.Offset{2, 0, 7} {
+		assert.Assert(tst, sta.Apply(entry(off, start, set("/", "queue.depth", "7", 0))) == nil)
+		assert.Equal(tst, sta.Offset(), core.Offset(0))
+	}
+}
+
+func TestViewStaysAsItWas(tst *testing.T) {
+	sta := fold.New()
+	sta.Apply(entry(1, start, set("/", "queue.depth", "7", 0), assign("g1", 0, "v1")))
+	old := sta.View()
+	sta.Apply(entry(2, start, set("/", "queue.depth", "8", 1), retire("g1", 1)))
+	sta.Apply(entry(3, start, unload("g1", 1, "v1")))
+	assert.Equal(tst, old.Tree().Config("/").Int("queue.depth"), 7)
+	asg, _ := old.Assignment("g1")
+	assert.Equal(tst, asg.Phase, core.PhaseAssigned)
+	grp, held := old.Holder("v1")
+	assert.Assert(tst, held && grp == "g1")
+	assert.Equal(tst, len(old.Audit(0, 10)), 2)
+	_, held = sta.View().Holder("v1")
+	assert.Assert(tst, !held)
+}
+
+// TestAudit: a line for every accepted and every rejected change.
+func TestAudit(tst *testing.T) {
+	sta := fold.New()
+	sta.Apply(entry(1, start, set("/", "queue.depth", "7", 0)))
+	sta.Apply(entry(2, start, set("/", "queue.depth", "8", 1), set("/", "queue.depth", "9", 1)))
+	sta.Apply(entry(3, start, assign("g1", 0, "v1", "v2"), claim("k", start, 1, "n1")))
+	lns := sta.Audit(1, 10)
+	assert.Equal(tst, len(lns), 3)
+	assert.DeepEqual(tst, lns[0], fold.AuditLine{
+		Offset: 2, At: start, Record: "r2.0", By: "ana", Kind: fold.KindSetting,
+		Subject: "/", Key: "queue.depth", Old: "7", New: "8",
+	})
+	assert.Equal(tst, lns[1].Code, core.CodeSettingRaced)
+	assert.Equal(tst, lns[1].Detail, "/ was changed by ana at offset 2, this change was made from offset 1")
+	assert.Equal(tst, lns[2].New, "m1@1   on v1,v2")
+}
+
+// TestMemoryIsBounded: verdicts and audit lines are forgotten in the same way
+// by a state that was read back half-way.
+func TestMemoryIsBounded(tst *testing.T) {
+	one := fold.New()
+	var two *fold.State
+	const num = 5000
+	for off := core.Offset(1); off <= num; off++ {
+		ent := entry(off, start.Add(time.Duration(off)*time.Second), set("/", "queue.depth", "7", off-1), claim(core.RequestKey(fmt.Sprint(off)), start.Add(time.Duration(off)*time.Second), 1, "n1"))
+		one.Apply(ent)
+		if two != nil {
+			two.Apply(ent)
+		}
+		if off == num/2 {
+			two = reread(tst, one)
+		}
+	}
+	assert.Equal(tst, one.Hash(), two.Hash())
+	assert.Equal(tst, len(one.Audit(0, 2*num)), 4096)
+	assert.Equal(tst, one.Claims(), 606)
+	_, known := one.Outcome("r1.0")
+	assert.Assert(tst, !known)
+	ver, known := one.Outcome("r5000.1")
+	assert.Assert(tst, known && ver.Accepted())
+	reread(tst, one)
+}
+
+func TestDecodeDamaged(tst *testing.T) {
+	sta := fold.New()
+	sta.Apply(entry(1, start, set("/", "queue.depth", "7", 0), assign("g1", 0, "v1")))
+	sta.Apply(entry(2, start, rule(1)))
+	data := sta.Encode()
+	for idx := range data {
+		bad := append([]byte(nil), data...)
+		bad[idx] ^= 0x01
+		got, err := fold.Decode(bad)
+		if err == nil {
+			// Only the texts of audit lines are outside the hash.
+			assert.Equal(tst, got.Hash(), sta.Hash(), "byte %d", idx)
+			continue
+		}
+		assert.Equal(tst, core.CodeOf(err), core.CodeSnapshotBad)
+	}
+	_, err := fold.DecodeFor(fold.Program{Version: 1}, data)
+	assert.Equal(tst, core.CodeOf(err), core.CodeSnapshotBad)
+}
