Prove package crash; one node a group for suspects

A simulated culprit took a bystander into quarantine: suspects of two nodes met on one group, and the loss counted for both. Ruled out: counting only crashes without company (the culprit would need a third group). Now each group's suspects come from one node (serve.Config.Isolate).

--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -21,6 +21,13 @@
 // their fabric domain, unless one request ran on all of them. Only such a
 // request becomes suspect.
 //
+// # Two suspects on one group
+//
+// Nodes don't know where their peers' suspects run. If two of them meet on one
+// group and it is lost, the bystander has its second crash as well. So the
+// suspects of a group should come from one node only: the caller of the book
+// picks among the groups that are this node's for that purpose.
+//
 // # Sharing
 //
 // Each node exports the crashes that it saw itself and keeps what its peers
--- a/serve/books.go
+++ b/serve/books.go
@@ -73,6 +73,17 @@
 	return true
 }
 
+// calm returns those of the positions whose candidates run no suspect.
+func (boo *books) calm(cands []core.Candidate, poss []int, now time.Time) []int {
+	out := make([]int, 0, len(poss))
+	for _, pos := range poss {
+		if boo.suspects.Suspects(cands[pos].Group, now) == 0 {
+			out = append(out, pos)
+		}
+	}
+	return out
+}
+
 // ending tells how a run on a group ended.
 type ending int
 
--- a/serve/choose.go
+++ b/serve/choose.go
@@ -104,15 +104,14 @@
 	now := srv.cfg.Now()
 	var dec crash.Decision
 	var wait <-chan struct{}
-	calm := make([]int, 0, len(cands))
+	var calm []int
 	srv.use(func(boo *books) {
 		dec = boo.suspects.Decide(drv.print, now)
+		poss := srv.isolated(cands, dec.Verdict)
 		for pos := range cands {
 			cands[pos].InFlight = boo.flying[cands[pos].Group]
-			if boo.suspects.Suspects(cands[pos].Group, now) == 0 {
-				calm = append(calm, pos)
-			}
 		}
+		calm = boo.calm(cands, poss, now)
 		if len(calm) == 0 && dec.Verdict == crash.Alone {
 			wait = boo.wait()
 		}
@@ -133,6 +132,23 @@
 	return pos, wait, flight.Event{}
 }
 
+// isolated returns the positions of the candidates that a request with the
+// verdict may be sent to.
+func (srv *Server) isolated(cands []core.Candidate, ver crash.Verdict) []int {
+	all := make([]int, 0, len(cands))
+	var own []int
+	for pos := range cands {
+		all = append(all, pos)
+		if ver == crash.Alone && srv.cfg.Isolate != nil && srv.cfg.Isolate(cands[pos].Group) {
+			own = append(own, pos)
+		}
+	}
+	if len(own) > 0 {
+		return own
+	}
+	return all
+}
+
 // chooseAmong asks the Chooser about the candidates at the positions poss, or
 // about all if there are none.
 func (drv *drive) chooseAmong(cands []core.Candidate, poss []int, now time.Time) int {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -88,8 +88,8 @@
 	Quarantine time.Duration
 }
 
-// Config holds what a Server needs. Forwarder, Claims, Blocks and Share may be
-// nil: then nothing is forwarded, requests that must not be repeated are
+// Config holds what a Server needs. Forwarder, Claims, Blocks, Share and
+// Isolate may be nil: then nothing is forwarded, requests that must not be repeated are
 // refused as not run, prefixes are not used, and suspects are shared by
 // Server.Suspects only.
 type Config struct {
@@ -109,6 +109,11 @@
 	// a request that broke is answered, so that a resend elsewhere finds its
 	// print known. It bounds its own time.
 	Share func(ctx context.Context)
+	// Isolate reports whether this node's suspects may run on the group. At any
+	// time it should be true at one node of the zone, so that two suspects never
+	// meet there; nil stands for all groups. A node to which none of a request's
+	// groups falls uses any.
+	Isolate func(grp core.GroupName) bool
 	// Crash holds the limits of suspicion.
 	Crash crash.Config
 }
