--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -70,7 +70,7 @@
 	if need < left {
 		return Refuse{}, false
 	}
-	after := max(need-left, time.Millisecond)
+	after := max(need-left+pol.turn(), time.Millisecond)
 	return Refuse{ID: itm.ID, Code: core.CodeDeadline, After: after}, true
 }
 
@@ -85,8 +85,7 @@
 }
 
 func (mac *Machine) drop(ent *entry) {
-	after := seconds(ent.pool.delay(ent.flow, ent.flow.backlog))
-	mac.refuse(ent, core.CodeQueueFull, max(after, time.Millisecond))
+	mac.refuse(ent, core.CodeQueueFull, max(ent.pool.turn(), time.Millisecond))
 }
 
 // refuse answers a waiting item and gives back what it was charged.
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -238,3 +238,9 @@
 	mine := (ahead + lag) * sum / wgt
 	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanTok / float64(pol.slots)
 }
+
+// turn returns the mean time between two slots that become free, zero if
+// nothing was observed.
+func (pol *pool) turn() time.Duration {
+	return seconds(pol.meanDur / math.Max(1, float64(pol.slots)))
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,288 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/core/chsts"
+	"kumquathinge/core/route"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func groups(num, capacity int) []core.Candidate {
+	out := make([]core.Candidate, num)
+	for idx := range out {
+		out[idx] = core.Candidate{Group: core.GroupName(fmt.Sprint("g", idx)), Order: 1, Capacity: capacity}
+	}
+	return out
+}
+
+func ExampleBlocks() {
+	one := route.Blocks("You write alerts. Dog, brown.", 8)
+	two := route.Blocks("You write alerts. Cat, black.", 8)
+	fmt.Println(len(one), one[0] == two[0], one[1] == two[1], one[2] == two[2])
+	// Output: 3 true true false
+}
+
+func TestConformance(t *testing.T) {
+	chsts.Run(t, func() core.Chooser { return route.New(route.Config{}) })
+}
+
+func TestBlocks(t *testing.T) {
+	assert.Equal(t, len(route.Blocks("", 4)), 0)
+	assert.Equal(t, len(route.Blocks("abc", 4)), 0)
+	assert.Equal(t, len(route.Blocks(strings.Repeat("a", 1<<20), 4)), 64)
+	same := route.Blocks("aaaaaaaa", 4)
+	assert.Assert(t, same[0] != same[1], "a block's hash covers what lies before it")
+	assert.Assert(t, route.Blocks("bbbbaaaa", 4)[1] != same[1])
+}
+
+// TestLaggingReports sends requests while the reports stay at what they were,
+// and wants no group to get more than its part and a few.
+func TestLaggingReports(t *testing.T) {
+	const num, sends = 10, 400
+	tests := []struct {
+		name  string
+		age   time.Duration
+		other int // requests of other entry VMs at the first half of the groups
+	}{
+		{"fresh reports", 0, 0},
+		{"reports of 2 s ago", 2 * time.Second, 0},
+		{"reports of 60 s ago", time.Minute, 0},
+		{"others' load at half of the groups", time.Second, 40},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rtr := route.New(route.Config{})
+			rnd := rand.New(rand.NewPCG(1, 2))
+			cands := groups(num, 8)
+			for idx := range cands {
+				cands[idx].LoadAt = t0.Add(-tt.age)
+				if idx < num/2 {
+					cands[idx].Load.Running = tt.other
+				}
+			}
+			for seq := range sends {
+				idx := rtr.Choose(cands, nil, t0.Add(time.Duration(seq)*time.Millisecond), rnd.Uint64())
+				cands[idx].InFlight++
+			}
+			level := (sends + tt.other*num/2) / num
+			for idx := range cands {
+				all := cands[idx].InFlight + cands[idx].Load.Running
+				assert.Assert(t, all <= level*5/4, "group %d has %d of a mean of %d", idx, all, level)
+			}
+		})
+	}
+}
+
+// TestEndedSinceReport wants requests that ended after the report to be taken
+// off its load.
+func TestEndedSinceReport(t *testing.T) {
+	rtr := route.New(route.Config{Choices: 64})
+	cands := groups(2, 8)
+	for range 20 {
+		rtr.Choose(cands[:1], nil, t0, 1)
+	}
+	for idx := range cands {
+		cands[idx].Load.Running = 20 - idx
+		cands[idx].LoadAt = t0.Add(time.Second)
+	}
+	now := t0.Add(2 * time.Second)
+	assert.Equal(t, rtr.Choose(cands, nil, now, 1), 1)
+	rtr.Failed("g1", now)
+	for range 15 {
+		rtr.Served("g0", time.Second, now)
+	}
+	assert.Equal(t, rtr.Choose(cands, nil, now, 1), 0)
+}
+
+// TestAffinity places prompts with a common prefix and counts how many groups
+// take them.
+func TestAffinity(t *testing.T) {
+	prompt := strings.Repeat("system ", 40)
+	tests := []struct {
+		name      string
+		prepare   func(rtr *route.Router, cands []core.Candidate, first int)
+		wantSame  bool
+		wantFirst int
+	}{
+		{name: "kept", wantSame: true,
+			prepare: func(*route.Router, []core.Candidate, int) {}},
+		{name: "kept with other groups gone", wantSame: true,
+			prepare: func(_ *route.Router, cands []core.Candidate, first int) {
+				for idx := range cands {
+					if idx != first {
+						cands[idx].Group += "x"
+					}
+				}
+			}},
+		{name: "yields beyond the bound", wantSame: false,
+			prepare: func(_ *route.Router, cands []core.Candidate, first int) {
+				cands[first].InFlight = 30
+			}},
+		{name: "yields to a report of load", wantSame: false,
+			prepare: func(_ *route.Router, cands []core.Candidate, first int) {
+				cands[first].Load.Queued = 30
+				cands[first].LoadAt = t0
+			}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rtr := route.New(route.Config{})
+			cands := groups(12, 8)
+			for idx := range cands {
+				cands[idx].InFlight = 4
+			}
+			first := rtr.Choose(cands, route.Blocks(prompt+"one", 16), t0, 3)
+			tt.prepare(rtr, cands, first)
+			next := rtr.Choose(cands, route.Blocks(prompt+"another", 16), t0, 4)
+			assert.Equal(t, next == first, tt.wantSame)
+		})
+	}
+}
+
+// TestCacheEvents wants the longest prefix to decide, as events correct what
+// is believed.
+func TestCacheEvents(t *testing.T) {
+	blocks := route.Blocks(strings.Repeat("long prefix ", 20), 16)
+	deep, half := blocks[len(blocks)-1], blocks[len(blocks)/2]
+	tests := []struct {
+		name   string
+		events map[core.GroupName][]core.CacheEvent
+		order  core.Offset // of g7, once the events are in
+		want   core.GroupName
+	}{
+		{name: "present", want: "g7", events: map[core.GroupName][]core.CacheEvent{
+			"g7": {{Seq: 1, Block: deep, Present: true}}}},
+		{name: "deeper wins", want: "g3", events: map[core.GroupName][]core.CacheEvent{
+			"g7": {{Seq: 1, Block: half, Present: true}},
+			"g3": {{Seq: 1, Block: deep, Present: true}}}},
+		{name: "gap before absent", want: "g3", events: map[core.GroupName][]core.CacheEvent{
+			"g7": {{Seq: 1, Block: deep, Present: true}, {Seq: 90, Block: deep}},
+			"g3": {{Seq: 1, Block: half, Present: true}}}},
+		{name: "twice and late", want: "g7", events: map[core.GroupName][]core.CacheEvent{
+			"g7": {{Seq: 5, Block: deep, Present: true}, {Seq: 5, Block: deep, Present: true}, {Seq: 4, Block: half}},
+			"g3": {{Seq: 1, Block: half, Present: true}}}},
+		{name: "loaded anew since", want: "g3", order: 9, events: map[core.GroupName][]core.CacheEvent{
+			"g7": {{Seq: 1, Block: deep, Present: true}},
+			"g3": {{Seq: 1, Block: half, Present: true}}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rtr := route.New(route.Config{})
+			cands := groups(12, 8)
+			rtr.Choose(cands, nil, t0, 1)
+			for name, events := range tt.events {
+				rtr.Cached(name, events)
+			}
+			if tt.order > 0 {
+				cands[7].Order = tt.order
+			}
+			idx := rtr.Choose(cands, blocks, t0, 5)
+			assert.Equal(t, cands[idx].Group, tt.want)
+		})
+	}
+}
+
+// TestStragglers serves requests with latencies by group and counts where the
+// next go.
+func TestStragglers(t *testing.T) {
+	const num, sends = 9, 900
+	tests := []struct {
+		name     string
+		slow     int // the first groups are slow
+		inFlight int // at every group, of 8
+		most     int // requests to the slow groups
+		least    int
+	}{
+		{"none", 0, 0, 0, 0},
+		{"one gets probes only", 1, 0, 40, 1},
+		{"a third gets probes only", 3, 0, 40, 1},
+		{"four of nine: no more than a third is left out", 4, 0, sends / 4, sends / 10},
+		{"two thirds: no more than a third is left out", 6, 0, sends, sends / 3},
+		{"the others are full", 1, 8, sends, sends / num / 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rtr := route.New(route.Config{})
+			rnd := rand.New(rand.NewPCG(3, 4))
+			cands := groups(num, 8)
+			served := func(idx int) {
+				lat := 100 * time.Millisecond
+				if idx < tt.slow {
+					lat = time.Second
+				}
+				rtr.Served(cands[idx].Group, lat, t0)
+			}
+			for idx := range cands {
+				for range 10 {
+					rtr.Choose(cands[idx:idx+1], nil, t0, rnd.Uint64())
+					served(idx)
+				}
+				cands[idx].InFlight = tt.inFlight
+			}
+			slow := 0
+			for range sends {
+				idx := rtr.Choose(cands, nil, t0, rnd.Uint64())
+				if idx < tt.slow {
+					slow++
+				}
+				served(idx)
+			}
+			assert.Assert(t, slow <= tt.most && slow >= tt.least, "%d to slow groups", slow)
+		})
+	}
+}
+
+func TestStragglerRecovers(t *testing.T) {
+	rtr := route.New(route.Config{})
+	rnd := rand.New(rand.NewPCG(5, 6))
+	cands := groups(6, 8)
+	counts := func(sends int, lat func(idx int) time.Duration) (got [6]int) {
+		for range sends {
+			idx := rtr.Choose(cands, nil, t0, rnd.Uint64())
+			got[idx]++
+			rtr.Served(cands[idx].Group, lat(idx), t0)
+		}
+		return got
+	}
+	slow := func(idx int) time.Duration {
+		if idx == 2 {
+			return time.Second
+		}
+		return 100 * time.Millisecond
+	}
+	counts(300, slow)
+	assert.Assert(t, counts(300, slow)[2] < 20)
+	even := func(int) time.Duration { return 100 * time.Millisecond }
+	counts(3000, even)
+	assert.Assert(t, counts(300, even)[2] > 25)
+}
+
+// TestBoundedMemory sends prompts and groups without end and wants the
+// Router's bounds to hold its heap.
+func TestBoundedMemory(t *testing.T) {
+	rtr := route.New(route.Config{MaxBlocks: 256, MaxGroups: 8})
+	rnd := rand.New(rand.NewPCG(7, 8))
+	cands := groups(4, 8)
+	step := func() {
+		for idx := range cands {
+			cands[idx].Group = core.GroupName(fmt.Sprint("g", rnd.Uint64()))
+		}
+		blocks := []uint64{rnd.Uint64(), rnd.Uint64(), rnd.Uint64()}
+		idx := rtr.Choose(cands, blocks, t0, rnd.Uint64())
+		rtr.Cached(cands[idx].Group, []core.CacheEvent{{Block: rnd.Uint64(), Present: true}})
+	}
+	for range 2000 {
+		step()
+		size := rtr.Size()
+		assert.Assert(t, size.Blocks <= 256 && size.Groups <= 8, "%+v", size)
+	}
+}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -42,6 +42,7 @@
 	holds   *index
 	views   []view    // reused by Choose
 	floats  []float64 // reused by Choose
+	ints    []int     // reused by Choose
 	lastUse uint64
 }
 
@@ -132,11 +133,12 @@
 // draw returns the least loaded of a few candidates drawn at random.
 // Stragglers take part once the others are full.
 func (rtr *Router) draw(tot total, rnd uint64) int {
+	pool := rtr.eligible(tot.load >= tot.cap)
 	best := -1
 	state := rnd
 	for left := rtr.cfg.Choices; left > 0; left-- {
 		state = mix(state + golden)
-		idx := rtr.skipSlow(int(state%uint64(len(rtr.views))), tot)
+		idx := pool[state%uint64(len(pool))]
 		if best < 0 || rtr.views[idx].load < rtr.views[best].load {
 			best = idx
 		}
@@ -144,16 +146,16 @@
 	return best
 }
 
-// skipSlow returns the first index from idx on, around the end, that isn't a
-// straggler while the others have room.
-func (rtr *Router) skipSlow(idx int, tot total) int {
-	if tot.load >= tot.cap {
-		return idx
-	}
-	for rtr.views[idx].slow {
-		idx = (idx + 1) % len(rtr.views)
+// eligible returns the indices of all views, or of those that aren't
+// stragglers.
+func (rtr *Router) eligible(all bool) []int {
+	rtr.ints = rtr.ints[:0]
+	for idx := range rtr.views {
+		if all || !rtr.views[idx].slow {
+			rtr.ints = append(rtr.ints, idx)
+		}
 	}
-	return idx
+	return rtr.ints
 }
 
 // Served tells that a request that Choose placed ended well, after the
@@ -237,3 +239,14 @@
 		*val = def
 	}
 }
+
+// Size is how much a Router remembers.
+type Size struct {
+	Groups int
+	Blocks int
+}
+
+// Size returns the numbers of groups and prefix blocks remembered.
+func (rtr *Router) Size() Size {
+	return Size{Groups: len(rtr.groups), Blocks: len(rtr.holds.young) + len(rtr.holds.old)}
+}
--- a/core/route/slow.go
+++ b/core/route/slow.go
@@ -18,12 +18,14 @@
 	slices.Sort(rtr.floats)
 	bound := rtr.floats[(num-1)/2] * rtr.cfg.Slow
 	allowed := len(rtr.views) / 3
-	if cut := num - allowed - 1; cut >= 0 {
-		bound = max(bound, rtr.floats[cut])
-	}
+	least := rtr.floats[max(0, num-max(1, allowed))]
 	for idx := range rtr.views {
 		vw := &rtr.views[idx]
-		vw.slow = vw.grp.served >= rtr.cfg.MinServed && vw.grp.slow > bound
+		slow := vw.grp.served >= rtr.cfg.MinServed && vw.grp.slow > bound
+		if slow && vw.grp.slow >= least && allowed > 0 {
+			vw.slow = true
+			allowed--
+		}
 	}
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -16,6 +16,9 @@
 	"kumquathinge/queue"
 )
 
+// hangBound ends a test that would wait without end for a lost slot.
+const hangBound = 10 * time.Second
+
 // start runs a Queue with one slot for model "m" and stops it at the end.
 func start(t *testing.T, cfg queue.Config) (*queue.Queue, func()) {
 	t.Helper()
@@ -148,8 +151,10 @@
 	}
 	grp.Wait()
 	assert.Assert(t, most <= slots)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
 	for range slots {
-		_, err := que.Enter(context.Background(), core.Job{Model: "m"})
+		_, err := que.Enter(ctx, core.Job{Model: "m"})
 		assert.NilError(t, err)
 	}
 }
