--- /dev/null
+++ b/cmd/exper/plot.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"kumquathinge/model/trial"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// chart is one measure over the load, a line for each policy.
+type chart struct {
+	file  string
+	title string
+	value func(res *trial.Result) float64
+}
+
+var charts = []chart{
+	{"within.png", "least share of deadlines met within the fair share",
+		func(res *trial.Result) float64 { return res.MinWithin }},
+	{"mean.png", "mean share of deadlines met",
+		func(res *trial.Result) float64 { return res.MeanShare }},
+	{"jain.png", "Jain's fairness index",
+		func(res *trial.Result) float64 { return res.Jain }},
+	{"hits.png", "share of prefix blocks found",
+		func(res *trial.Result) float64 { return res.HitShare }},
+}
+
+func plotAll(dir string, results []*trial.Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return eris.Wrap(err, "make directory of plots")
+	}
+	for _, cht := range charts {
+		if err := cht.draw(dir, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (cht chart) draw(dir string, results []*trial.Result) error {
+	plt := plot.New()
+	plt.Title.Text = cht.title
+	plt.X.Label.Text = "load, times the capacity"
+	plt.Y.Min, plt.Y.Max = 0, 1
+	var args []any
+	for _, name := range names(results) {
+		var pts plotter.XYs
+		for _, res := range results {
+			if res.Policy == name {
+				pts = append(pts, plotter.XY{X: res.Load, Y: cht.value(res)})
+			}
+		}
+		args = append(args, name, pts)
+	}
+	if err := plotutil.AddLinePoints(plt, args...); err != nil {
+		return eris.Wrap(err, "draw lines")
+	}
+	err := plt.Save(plotWidth, plotHeight, filepath.Join(dir, cht.file))
+	return eris.Wrap(err, fmt.Sprintf("save %s", cht.file))
+}
+
+func names(results []*trial.Result) []string {
+	var out []string
+	seen := make(map[string]bool)
+	for _, res := range results {
+		if !seen[res.Policy] {
+			seen[res.Policy] = true
+			out = append(out, res.Policy)
+		}
+	}
+	return out
+}
