--- a/core/admit/config.go
+++ b/core/admit/config.go
@@ -11,7 +11,7 @@
 	DefaultMaxQueued  = 4096
 	DefaultMaxPerOrg  = 2048
 	DefaultPriorities = 4
-	DefaultLead       = 8192.0 // tokens per unit of weight
+	DefaultLead       = 2048.0 // work per unit of weight
 	DefaultBurst      = time.Second
 	DefaultGain       = 0.05
 	DefaultUsageTime  = 5 * time.Second
@@ -22,7 +22,7 @@
 	MaxQueued  int           // items waiting for one model
 	MaxPerOrg  int           // items of one organisation waiting for one model
 	Priorities int           // priorities run from 0 to Priorities-1, the most urgent
-	Lead       float64       // tokens per weight by which priority may run ahead
+	Lead       float64       // work per weight by which priority may run ahead
 	Burst      time.Duration // time's worth of its rate that an idle organisation saves up
 	Gain       float64       // weight of a new observation of the service rate, in (0, 1]
 	UsageTime  time.Duration // time constant of the demand that Usage reports
@@ -30,8 +30,8 @@
 }
 
 // OrgLimits are an organisation's limits over the whole system. A zero rate
-// or concurrency is no limit; a zero weight counts as 1. Priority is the most
-// urgent priority that its items may have.
+// or concurrency is no limit; a zero weight counts as 1, others are taken into
+// [0.001, 1e6]. Priority is the most urgent priority that its items may have.
 type OrgLimits struct {
 	Weight      float64
 	Requests    float64 // per second
@@ -40,15 +40,19 @@
 	Priority    int
 }
 
-// Item is a request that asks to run. Cost is its expected size in tokens and
-// must be positive. IDs are unique among the items that wait or run. The zero
-// Deadline is none.
+// Item is a request that asks to run. Cost is its expected size in tokens, for
+// the organisation's limits. Work is its expected size as the models feel it,
+// in any unit that all items of a model share, for fair shares and estimates
+// of time; Cost stands for it if it is zero. Cost must be positive and Work not
+// negative. IDs are unique among the items that wait or run. The zero Deadline
+// is none.
 type Item struct {
 	ID       uint64
 	Org      core.OrgName
 	Model    core.ModelName
 	Priority int
 	Cost     float64
+	Work     float64
 	Deadline time.Time
 }
 
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -11,9 +11,9 @@
 //
 // Organisations share a model by start-time fair queueing (Goyal, Vin and
 // Cheng, "Start-time Fair Queueing", SIGCOMM 1996): each organisation with
-// waiting items has a tag that grows by cost over weight with each admission,
-// and the smallest tag goes first. The cost is an estimate in tokens, which
-// Done replaces by the tokens used. Priority orders the items of one
+// waiting items has a tag that grows by work over weight with each admission,
+// and the smallest tag goes first. The work is an estimate, which Done corrects
+// in proportion to the tokens used. Priority orders the items of one
 // organisation strictly. Between organisations it lets one go first until its
 // tag leads the smallest by Config.Lead: priority buys order, not share.
 //
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -36,6 +36,9 @@
 	if _, ok := mac.entries[itm.ID]; ok {
 		panic(fmt.Sprintf("admit: item %d offered twice", itm.ID))
 	}
+	if itm.Work == 0 {
+		itm.Work = itm.Cost
+	}
 	og := mac.org(itm.Org)
 	og.demand.add(itm.Cost, mac.cfg.UsageTime, now)
 	itm.Priority = min(max(itm.Priority, 0), og.limits.Priority, mac.cfg.Priorities-1)
@@ -66,7 +69,7 @@
 	if left > 0 && pol.running == 0 && pol.waiting == 0 {
 		return Refuse{}, false
 	}
-	need := seconds(pol.delay(flw, flw.ahead(itm.Priority)) + pol.service(itm.Cost))
+	need := seconds(pol.delay(flw, flw.ahead(itm.Priority)) + pol.service(itm.Work))
 	if need < left {
 		return Refuse{}, false
 	}
@@ -121,12 +124,12 @@
 	if ent.pool.running == 0 {
 		return left <= 0
 	}
-	return seconds(ent.pool.service(ent.item.Cost)) >= left
+	return seconds(ent.pool.service(ent.item.Work)) >= left
 }
 
 func (mac *Machine) admit(ent *entry, now time.Time) {
 	ent.pool.remove(ent)
-	ent.flow.tag += ent.item.Cost / ent.org.weight()
+	ent.flow.tag += ent.item.Work / ent.org.weight()
 	ent.running = true
 	ent.started = now
 	ent.pool.running++
@@ -142,7 +145,7 @@
 		panic(fmt.Sprintf("admit: item %d is done but was not admitted", id))
 	}
 	if tokens > 0 {
-		ent.pool.observe(float64(tokens), now.Sub(ent.started), mac.cfg.Gain)
+		ent.pool.observe(ent.item.Work, now.Sub(ent.started), mac.cfg.Gain)
 	}
 	mac.end(ent, float64(tokens), now)
 	return mac.flush()
@@ -166,7 +169,7 @@
 
 func (mac *Machine) end(ent *entry, tokens float64, now time.Time) {
 	diff := tokens - ent.item.Cost
-	ent.flow.tag += diff / ent.org.weight()
+	ent.flow.tag += diff / ent.item.Cost * ent.item.Work / ent.org.weight()
 	ent.org.settle(diff)
 	ent.pool.running--
 	ent.org.running--
--- a/core/admit/org.go
+++ b/core/admit/org.go
@@ -19,11 +19,17 @@
 	demand   demand
 }
 
+// Weights are taken into this range, in which tags can't overflow.
+const (
+	minWeight = 1e-3
+	maxWeight = 1e6
+)
+
 func (og *org) weight() float64 {
-	if og.limits.Weight <= 0 {
+	if !(og.limits.Weight > 0) {
 		return 1
 	}
-	return og.limits.Weight
+	return min(max(og.limits.Weight, minWeight), maxWeight)
 }
 
 // blocked reports whether the organisation's concurrency is used up. Its part
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -22,8 +22,8 @@
 	org     *org
 	queues  [][]*entry // by priority, oldest first
 	items   int
-	backlog float64 // tokens
-	tag     float64 // tokens per weight
+	backlog float64 // work
+	tag     float64 // work per weight
 	index   int     // in pool.active, or -1
 }
 
@@ -49,7 +49,7 @@
 	panic("admit: bottom of an empty flow")
 }
 
-// ahead returns the tokens that wait at the priority or a more urgent one.
+// ahead returns the work that waits at the priority or a more urgent one.
 func (flw *flow) ahead(pri int) float64 {
 	if pri == 0 {
 		return flw.backlog
@@ -57,7 +57,7 @@
 	var sum float64
 	for _, que := range flw.queues[pri:] {
 		for _, ent := range que {
-			sum += ent.item.Cost
+			sum += ent.item.Work
 		}
 	}
 	return sum
@@ -65,17 +65,17 @@
 
 // pool is one model's slots, its waiting items and its observed service.
 type pool struct {
-	model   core.ModelName
-	slots   int
-	running int
-	waiting int
-	backlog float64 // tokens
-	weights float64 // sum over the active flows
-	vtime   float64
-	flows   map[core.OrgName]*flow
-	active  []*flow // those with waiting items
-	meanDur float64 // seconds that an item runs
-	meanTok float64 // tokens of an item
+	model    core.ModelName
+	slots    int
+	running  int
+	waiting  int
+	backlog  float64 // work
+	weights  float64 // sum over the active flows
+	vtime    float64
+	flows    map[core.OrgName]*flow
+	active   []*flow // those with waiting items
+	meanDur  float64 // seconds that an item runs
+	meanWork float64 // of an item
 }
 
 func (pol *pool) flow(og *org, priorities int) *flow {
@@ -98,10 +98,10 @@
 	pri := ent.item.Priority
 	flw.queues[pri] = append(flw.queues[pri], ent)
 	flw.items++
-	flw.backlog += ent.item.Cost
+	flw.backlog += ent.item.Work
 	flw.org.waiting++
 	pol.waiting++
-	pol.backlog += ent.item.Cost
+	pol.backlog += ent.item.Work
 }
 
 // remove takes a waiting item out of its queue.
@@ -110,10 +110,10 @@
 	pri := ent.item.Priority
 	flw.queues[pri] = without(flw.queues[pri], ent)
 	flw.items--
-	flw.backlog -= ent.item.Cost
+	flw.backlog -= ent.item.Work
 	flw.org.waiting--
 	pol.waiting--
-	pol.backlog -= ent.item.Cost
+	pol.backlog -= ent.item.Work
 	if flw.items > 0 {
 		return
 	}
@@ -203,30 +203,30 @@
 }
 
 // observe takes in how long an item ran.
-func (pol *pool) observe(tokens float64, dur time.Duration, gain float64) {
-	if pol.meanTok == 0 {
-		pol.meanTok, pol.meanDur = tokens, dur.Seconds()
+func (pol *pool) observe(work float64, dur time.Duration, gain float64) {
+	if pol.meanWork == 0 {
+		pol.meanWork, pol.meanDur = work, dur.Seconds()
 		return
 	}
-	pol.meanTok += gain * (tokens - pol.meanTok)
+	pol.meanWork += gain * (work - pol.meanWork)
 	pol.meanDur += gain * (dur.Seconds() - pol.meanDur)
 }
 
-// service returns the seconds that an item of the cost is expected to run,
+// service returns the seconds that an item of so much work is expected to run,
 // zero if nothing was observed.
-func (pol *pool) service(cost float64) float64 {
-	if pol.meanTok <= 0 {
+func (pol *pool) service(work float64) float64 {
+	if pol.meanWork <= 0 {
 		return 0
 	}
-	return cost * pol.meanDur / pol.meanTok
+	return work * pol.meanDur / pol.meanWork
 }
 
 // delay returns the seconds that an item of flw is expected to wait behind
-// the tokens ahead of it, zero if nothing was observed or no slot exists. An
+// the work ahead of it, zero if nothing was observed or no slot exists. An
 // organisation gets at least its weight's part of the rate, and never waits
 // longer than for everything that waits.
 func (pol *pool) delay(flw *flow, ahead float64) float64 {
-	if pol.meanTok <= 0 || pol.slots == 0 || pol.running < pol.slots {
+	if pol.meanWork <= 0 || pol.slots == 0 || pol.running < pol.slots {
 		return 0
 	}
 	wgt := flw.org.weight()
@@ -236,7 +236,7 @@
 	}
 	lag := math.Max(0, flw.tag-pol.vtime) * wgt
 	mine := (ahead + lag) * sum / wgt
-	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanTok / float64(pol.slots)
+	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanWork / float64(pol.slots)
 }
 
 // turn returns the mean time between two slots that become free, zero if
--- a/core/admit/prop_test.go
+++ b/core/admit/prop_test.go
@@ -1,8 +1,10 @@
 package admit_test
 
 import (
+	"flag"
 	"fmt"
 	"math"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,15 @@
 	"kumquathinge/core/admit"
 )
 
+// TestMain fixes the seed of the property tests, which the command line may
+// set to another.
+func TestMain(mn *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(mn.Run())
+}
+
 // TestMachineProperties runs random events and wants no more running than
 // slots allow at each admission, one answer for each item, and every item
 // accounted for.
--- /dev/null
+++ b/core/route/seed_test.go
@@ -0,0 +1,16 @@
+package route_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, which the command line may
+// set to another.
+func TestMain(mn *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(mn.Run())
+}
--- a/model/trial/arrival.go
+++ b/model/trial/arrival.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kumquathinge/core"
+	"kumquathinge/queue"
 )
 
 // Arrival is one recorded request. Times are in milliseconds. The first
@@ -30,6 +31,12 @@
 // cost is the size in tokens that admission expects.
 func (arr *Arrival) cost() float64 { return float64(arr.Prompt + arr.Max) }
 
+// work is the size that the groups feel: a prompt token takes a small part of
+// the time of a token that is generated.
+func (arr *Arrival) work() float64 {
+	return float64(arr.Prompt)*queue.PromptWork + float64(arr.Max)
+}
+
 func (arr *Arrival) used() int { return arr.Prompt + arr.Output }
 
 // Read reads arrivals, one JSON object a line. They must be in the order of
--- a/model/trial/trial.go
+++ b/model/trial/trial.go
@@ -159,7 +159,8 @@
 		return
 	}
 	tri.carry(req.node.mac.Offer(admit.Item{
-		ID: req.id, Org: arr.Org, Priority: arr.Priority, Cost: arr.cost(), Deadline: req.due,
+		ID: req.id, Org: arr.Org, Priority: arr.Priority,
+		Cost: arr.cost(), Work: arr.work(), Deadline: req.due,
 	}, tri.now))
 }
 
--- a/queue/enter.go
+++ b/queue/enter.go
@@ -112,6 +112,7 @@
 		Model:    Class(job),
 		Priority: job.Priority,
 		Cost:     que.cost(job),
+		Work:     que.work(job),
 		Deadline: job.Deadline,
 	}, que.clock()))
 	return id
@@ -154,3 +155,13 @@
 func Cost(job core.Job) float64 {
 	return 1 + float64(len(job.Prompt)+len(job.Body))/bytesPerToken + float64(job.MaxTokens)
 }
+
+// PromptWork is the work of one prompt token, where that of a generated token
+// is 1.
+const PromptWork = 1.0 / 32
+
+// Work returns a job's expected size as the backend servers feel it.
+func Work(job core.Job) float64 {
+	prompt := float64(len(job.Prompt)+len(job.Body)) / bytesPerToken
+	return 1 + prompt*PromptWork + float64(job.MaxTokens)
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -22,6 +22,7 @@
 	Admit admit.Config
 	Clock func() time.Time       // time.Now if nil
 	Cost  func(core.Job) float64 // Cost if nil; must return a positive number
+	Work  func(core.Job) float64 // Work if nil; must return a positive number
 	Tick  time.Duration          // DefaultTick if zero
 }
 
@@ -29,6 +30,7 @@
 type Queue struct {
 	clock  func() time.Time
 	cost   func(core.Job) float64
+	work   func(core.Job) float64
 	tick   time.Duration
 	mac    *admit.Machine
 	msgs   chan func()
@@ -66,12 +68,16 @@
 	if cfg.Cost == nil {
 		cfg.Cost = Cost
 	}
+	if cfg.Work == nil {
+		cfg.Work = Work
+	}
 	if cfg.Tick <= 0 {
 		cfg.Tick = DefaultTick
 	}
 	que := &Queue{
 		clock:  cfg.Clock,
 		cost:   cfg.Cost,
+		work:   cfg.Work,
 		tick:   cfg.Tick,
 		mac:    admit.New(cfg.Admit),
 		msgs:   make(chan func(), messageBuffer),
