Let priority run ahead by less

Cause: with nine other organisations allowed to lead by 2048 each, an organisation's less urgent items waited past their deadlines. Change: the default lead is 256 work per weight.

--- a/core/admit/config.go
+++ b/core/admit/config.go
@@ -11,7 +11,7 @@
 	DefaultMaxQueued  = 4096
 	DefaultMaxPerOrg  = 2048
 	DefaultPriorities = 4
-	DefaultLead       = 2048.0 // work per unit of weight
+	DefaultLead       = 256.0 // work per unit of weight
 	DefaultBurst      = time.Second
 	DefaultGain       = 0.05
 	DefaultUsageTime  = 5 * time.Second
