Let an organisation catch up on unused share

Cause: organisations within their share over the run lost deadlines in their own bursts, since an idle organisation kept nothing of its share. Change: a flow that begins to compete may start up to Credit behind the virtual time, and the estimate of its wait counts that. Seen to fail with the credit removed: TestCredit.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// TestCredit lets an organisation that was idle send a burst, and wants it
+// served before those that used its part meanwhile.
+func TestCredit(t *testing.T) {
+	flood := []stream{{org: "y", every: 100 * time.Millisecond}, {org: "z", every: 100 * time.Millisecond}}
+	srv := newServer(t, admit.Config{}, 4)
+	srv.feed(30*time.Second, flood...)
+	for range 8 {
+		srv.offer(admit.Item{Org: "a", Deadline: srv.now.Add(3500 * time.Millisecond)})
+	}
+	srv.feed(5*time.Second, flood...)
+	assert.Equal(t, srv.met["a"], 8)
+}
+
 // TestWeights floods from all and wants the work in the ratio of the weights.
 func TestWeights(t *testing.T) {
 	srv := newServer(t, admit.Config{}, 4)
--- a/core/admit/config.go
+++ b/core/admit/config.go
@@ -11,7 +11,8 @@
 	DefaultMaxQueued  = 4096
 	DefaultMaxPerOrg  = 2048
 	DefaultPriorities = 4
-	DefaultLead       = 256.0 // work per unit of weight
+	DefaultLead       = 256.0  // work per unit of weight
+	DefaultCredit     = 2048.0 // work per unit of weight
 	DefaultBurst      = time.Second
 	DefaultGain       = 0.05
 	DefaultUsageTime  = 5 * time.Second
@@ -23,6 +24,7 @@
 	MaxPerOrg  int           // items of one organisation waiting for one model
 	Priorities int           // priorities run from 0 to Priorities-1, the most urgent
 	Lead       float64       // work per weight by which priority may run ahead
+	Credit     float64       // work per weight that an idle organisation may catch up on
 	Burst      time.Duration // time's worth of its rate that an idle organisation saves up
 	Gain       float64       // weight of a new observation of the service rate, in (0, 1]
 	UsageTime  time.Duration // time constant of the demand that Usage reports
@@ -85,6 +87,9 @@
 	if cfg.Lead <= 0 {
 		cfg.Lead = DefaultLead
 	}
+	if cfg.Credit <= 0 {
+		cfg.Credit = DefaultCredit
+	}
 	if cfg.Burst <= 0 {
 		cfg.Burst = DefaultBurst
 	}
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -13,7 +13,9 @@
 // Cheng, "Start-time Fair Queueing", SIGCOMM 1996): each organisation with
 // waiting items has a tag that grows by work over weight with each admission,
 // and the smallest tag goes first. The work is an estimate, which Done corrects
-// in proportion to the tokens used. Priority orders the items of one
+// in proportion to the tokens used. An organisation that used less than its
+// share keeps up to Config.Credit of it, so that a burst of one that is within
+// its share over time goes first. Priority orders the items of one
 // organisation strictly. Between organisations it lets one go first until its
 // tag leads the smallest by Config.Lead: priority buys order, not share.
 //
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -72,6 +72,7 @@
 	backlog  float64 // work
 	weights  float64 // sum over the active flows
 	vtime    float64
+	credit   float64
 	flows    map[core.OrgName]*flow
 	active   []*flow // those with waiting items
 	meanDur  float64 // seconds that an item runs
@@ -90,7 +91,7 @@
 func (pol *pool) push(ent *entry) {
 	flw := ent.flow
 	if flw.items == 0 {
-		flw.tag = math.Max(flw.tag, pol.vtime)
+		flw.tag = pol.start(flw)
 		flw.index = len(pol.active)
 		pol.active = append(pol.active, flw)
 		pol.weights += flw.org.weight()
@@ -104,6 +105,12 @@
 	pol.backlog += ent.item.Work
 }
 
+// start returns the tag of a flow that begins to compete: what it had, but no
+// further back than the credit.
+func (pol *pool) start(flw *flow) float64 {
+	return math.Max(flw.tag, pol.vtime-pol.credit)
+}
+
 // remove takes a waiting item out of its queue.
 func (pol *pool) remove(ent *entry) {
 	flw := ent.flow
@@ -151,7 +158,7 @@
 	least := math.Inf(1)
 	for _, flw := range pol.active {
 		if flw.org.blocked() {
-			flw.tag = math.Max(flw.tag, pol.vtime)
+			flw.tag = pol.start(flw)
 			continue
 		}
 		least = math.Min(least, flw.tag)
@@ -234,8 +241,8 @@
 	if flw.items == 0 {
 		sum += wgt
 	}
-	lag := math.Max(0, flw.tag-pol.vtime) * wgt
-	mine := (ahead + lag) * sum / wgt
+	lag := (pol.start(flw) - pol.vtime) * wgt
+	mine := math.Max(0, ahead+lag) * sum / wgt
 	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanWork / float64(pol.slots)
 }
 
--- a/core/admit/set.go
+++ b/core/admit/set.go
@@ -93,7 +93,7 @@
 func (mac *Machine) pool(model core.ModelName) *pool {
 	pol, ok := mac.pools[model]
 	if !ok {
-		pol = &pool{model: model, flows: make(map[core.OrgName]*flow)}
+		pol = &pool{model: model, credit: mac.cfg.Credit, flows: make(map[core.OrgName]*flow)}
 		mac.pools[model] = pol
 	}
 	return pol
