Order one organisation's items by their deadlines

Cause: items of one organisation and priority waited in order of arrival, so short ones with short deadlines were refused after a wait behind long ones. Change: the earlier deadline first; Patience bounds the wait of items that are due late or never. Seen to fail with the order of arrival, and without patience: TestDueOrder.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -129,6 +129,24 @@
 	}
 }
 
+// TestDueOrder wants the items of one organisation and priority to run by
+// their deadlines, but none to wait for later ones without end.
+func TestDueOrder(t *testing.T) {
+	srv := newServer(t, admit.Config{Patience: 20 * time.Second}, 1)
+	srv.offer(admit.Item{Org: "a"})
+	var ids []uint64
+	for _, sec := range []time.Duration{15, 5, 0, 10, 300} {
+		itm := admit.Item{Org: "a"}
+		if sec > 0 {
+			itm.Deadline = t0.Add(sec * time.Second)
+		}
+		ids = append(ids, srv.offer(itm))
+	}
+	srv.feed(40*time.Second, stream{org: "a", every: 500 * time.Millisecond, deadline: 25 * time.Second})
+	assert.DeepEqual(t, srv.order[1:4], []uint64{ids[1], ids[3], ids[0]})
+	assert.Equal(t, srv.answer(ids[2])+srv.answer(ids[4]), "admitadmit")
+}
+
 // TestNoStarvation floods with urgent items of many organisations and wants
 // one of the least priority to get through.
 func TestNoStarvation(t *testing.T) {
@@ -310,7 +328,7 @@
 }
 
 // TestPushOut wants a full queue to drop from the longest backlog, the least
-// urgent and newest first.
+// urgent and last due first.
 func TestPushOut(t *testing.T) {
 	srv := newServer(t, admit.Config{MaxQueued: 3}, 1)
 	srv.offer(admit.Item{Org: "z"})
--- a/core/admit/config.go
+++ b/core/admit/config.go
@@ -14,6 +14,7 @@
 	DefaultLead       = 256.0  // work per unit of weight
 	DefaultCredit     = 2048.0 // work per unit of weight
 	DefaultBurst      = time.Second
+	DefaultPatience   = time.Minute
 	DefaultGain       = 0.05
 	DefaultUsageTime  = 5 * time.Second
 )
@@ -26,6 +27,7 @@
 	Lead       float64       // work per weight by which priority may run ahead
 	Credit     float64       // work per weight that an idle organisation may catch up on
 	Burst      time.Duration // time's worth of its rate that an idle organisation saves up
+	Patience   time.Duration // after which an item goes before all later ones of its queue
 	Gain       float64       // weight of a new observation of the service rate, in (0, 1]
 	UsageTime  time.Duration // time constant of the demand that Usage reports
 	Default    OrgLimits     // limits of organisations without any
@@ -93,6 +95,9 @@
 	if cfg.Burst <= 0 {
 		cfg.Burst = DefaultBurst
 	}
+	if cfg.Patience <= 0 {
+		cfg.Patience = DefaultPatience
+	}
 	if cfg.Gain <= 0 || cfg.Gain > 1 {
 		cfg.Gain = DefaultGain
 	}
--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -16,8 +16,9 @@
 // in proportion to the tokens used. An organisation that used less than its
 // share keeps up to Config.Credit of it, so that a burst of one that is within
 // its share over time goes first. Priority orders the items of one
-// organisation strictly. Between organisations it lets one go first until its
-// tag leads the smallest by Config.Lead: priority buys order, not share.
+// organisation strictly, and their deadlines those of one priority. Between
+// organisations it lets one go first until its tag leads the smallest by
+// Config.Lead: priority buys order, not share.
 //
 // # Refusal
 //
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -50,7 +50,7 @@
 	if wait := og.take(itm.Cost, mac.cfg.Burst, now); wait > 0 {
 		return mac.flush(Refuse{ID: itm.ID, Code: core.CodeOrgLimit, After: wait})
 	}
-	ent := &entry{item: itm, org: og, pool: pol, flow: flw}
+	ent := &entry{item: itm, org: og, pool: pol, flow: flw, due: mac.due(itm, now)}
 	mac.entries[itm.ID] = ent
 	pol.push(ent)
 	mac.bound(pol, flw)
@@ -58,6 +58,16 @@
 	return mac.flush()
 }
 
+// due returns the time that an item's place in its queue goes by: its
+// deadline, but no later than Patience from now.
+func (mac *Machine) due(itm Item, now time.Time) time.Time {
+	last := now.Add(mac.cfg.Patience)
+	if itm.Deadline.IsZero() || itm.Deadline.After(last) {
+		return last
+	}
+	return itm.Deadline
+}
+
 // late returns the refusal of an item that can't end before its deadline. An
 // idle model takes any item whose deadline is still to come, so that an
 // estimate that is too high gets corrected.
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"kumquathinge/core"
@@ -13,6 +14,7 @@
 	org     *org
 	pool    *pool
 	flow    *flow
+	due     time.Time // orders the items of one organisation and priority
 	running bool
 	started time.Time
 }
@@ -20,7 +22,7 @@
 // flow is one organisation's waiting items for one model.
 type flow struct {
 	org     *org
-	queues  [][]*entry // by priority, oldest first
+	queues  [][]*entry // by priority, first due first
 	items   int
 	backlog float64 // work
 	tag     float64 // work per weight
@@ -38,7 +40,7 @@
 	panic("admit: top of an empty flow")
 }
 
-// bottom returns the newest item of the least urgent priority. It panics if
+// bottom returns the item due last of the least urgent priority. It panics if
 // there is none.
 func (flw *flow) bottom() *entry {
 	for _, que := range flw.queues {
@@ -97,7 +99,7 @@
 		pol.weights += flw.org.weight()
 	}
 	pri := ent.item.Priority
-	flw.queues[pri] = append(flw.queues[pri], ent)
+	flw.queues[pri] = insert(flw.queues[pri], ent)
 	flw.items++
 	flw.backlog += ent.item.Work
 	flw.org.waiting++
@@ -137,6 +139,15 @@
 	}
 }
 
+// insert puts ent behind the items that are due no later.
+func insert(que []*entry, ent *entry) []*entry {
+	pos := len(que)
+	for pos > 0 && ent.due.Before(que[pos-1].due) {
+		pos--
+	}
+	return slices.Insert(que, pos, ent)
+}
+
 func without(que []*entry, ent *entry) []*entry {
 	if que[0] == ent {
 		que[0] = nil
