Refuse waiting items once others have come before them

Change: the tick holds the work ahead of each waiting item against its deadline, as Offer does. The experiment shows the mean time to a refusal.

--- a/cmd/exper/table.go
+++ b/cmd/exper/table.go
@@ -4,17 +4,19 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"kumquathinge/model/trial"
 )
 
 func printTable(out io.Writer, results []*trial.Result) {
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(tab, "load\tpolicy\tmin within\tmin\tmean\tJain\thits\trefused\twaited\tlate\ttokens in time\t")
+	_, _ = fmt.Fprintln(tab, "load\tpolicy\tmin within\tmin\tmean\tJain\thits\trefused\twaited\tmean wait\tlate\ttokens in time\t")
 	for _, res := range results {
-		_, _ = fmt.Fprintf(tab, "%.1f\t%s\t%.1f%%\t%.1f%%\t%.1f%%\t%.3f\t%.1f%%\t%d\t%d\t%d\t%d\t\n",
+		_, _ = fmt.Fprintf(tab, "%.1f\t%s\t%.1f%%\t%.1f%%\t%.1f%%\t%.3f\t%.1f%%\t%d\t%d\t%s\t%d\t%d\t\n",
 			res.Load, res.Policy, 100*res.MinWithin, 100*res.MinShare, 100*res.MeanShare,
-			res.Jain, 100*res.HitShare, res.Refused, res.Waited, res.Late, res.Tokens)
+			res.Jain, 100*res.HitShare, res.Refused, res.Waited,
+			res.Wait.Round(time.Millisecond), res.Late, res.Tokens)
 	}
 	_ = tab.Flush()
 }
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -211,20 +211,35 @@
 	return mac.flush()
 }
 
+// stale returns the waiting items that can't end in time any more, since
+// their service is due or since others have come before them.
 func (pol *pool) stale(mac *Machine, now time.Time) []*entry {
 	var out []*entry
 	for _, flw := range pol.active {
-		for _, que := range flw.queues {
-			for _, ent := range que {
-				if mac.expired(ent, now) {
+		var ahead float64
+		for pri := len(flw.queues) - 1; pri >= 0; pri-- {
+			for _, ent := range flw.queues[pri] {
+				if mac.expired(ent, now) || mac.passed(ent, ahead, now) {
 					out = append(out, ent)
+					continue
 				}
+				ahead += ent.item.Work
 			}
 		}
 	}
 	return out
 }
 
+// passed reports whether a waiting item with so much work ahead of it can't
+// end before its deadline.
+func (mac *Machine) passed(ent *entry, ahead float64, now time.Time) bool {
+	if ent.item.Deadline.IsZero() || ent.pool.running == 0 {
+		return false
+	}
+	need := ent.pool.delay(ent.flow, ahead) + ent.pool.service(ent.item.Work)
+	return seconds(need) >= ent.item.Deadline.Sub(now)
+}
+
 func (mac *Machine) flush(acts ...Action) []Action {
 	out := append(mac.acts, acts...)
 	mac.acts = nil
--- a/model/trial/result.go
+++ b/model/trial/result.go
@@ -37,13 +37,15 @@
 	MinShare  float64
 	MeanShare float64
 	Refused   int
-	Waited    int // refused after a wait
+	Waited    int           // refused after a wait
+	Wait      time.Duration // mean time to a refusal, at once or not
 	Late      int
 	Tokens    int
 
 	arrs []Arrival
 	byID map[core.OrgName]*Org
-	ends []time.Time // of the answers in time
+	wait time.Duration // of all refused
+	ends []time.Time   // of the answers in time
 }
 
 func newResult(policy string, arrs []Arrival) *Result {
@@ -70,6 +72,7 @@
 func (res *Result) late(req *request) { res.byID[req.arr.Org].Late++ }
 
 func (res *Result) refused(req *request, now time.Time) {
+	res.wait += now.Sub(req.at)
 	if now.Equal(req.at) {
 		res.byID[req.arr.Org].Refused++
 		return
@@ -93,6 +96,7 @@
 		res.Late += org.Late
 		res.Tokens += org.Tokens
 	}
+	res.Wait = res.wait / time.Duration(max(1, res.Refused+res.Waited))
 	if hits.Looked > 0 {
 		res.HitShare = float64(hits.Found) / float64(hits.Looked)
 	}
