--- a/io/oper/opcli/client.go
+++ b/io/oper/opcli/client.go
@@ -1,6 +1,8 @@
 package opcli
 
 import (
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core"
+	"kumquathinge/io/certs"
 	"kumquathinge/io/oper"
 )
 
@@ -51,23 +54,43 @@
 	servers []string
 	key     string
 	timeout time.Duration
+	tls     *tls.Config
 	cli     *fasthttp.Client
 }
 
-func newClient(glo *globals) *client {
+func newClient(glo *globals) (*client, error) {
 	cln := &client{servers: glo.Server, key: glo.Key, timeout: glo.Timeout}
+	if glo.TLS.enabled() {
+		cfg, err := certs.Load(certs.Files{Cert: glo.TLS.Cert, Key: glo.TLS.Key, CA: glo.TLS.CA}, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		cln.tls = cfg
+	}
 	cln.cli = &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
-		Dial: func(addr string) (net.Conn, error) {
-			con, err := net.DialTimeout("tcp", addr, cln.timeout)
-			if err != nil {
-				return nil, &dialError{err: err}
-			}
-			return con, nil
-		},
-	}
-	return cln
+		Dial:                      cln.dial,
+	}
+	return cln, nil
+}
+
+// dial connects to addr, with TLS if certificates are given. Its error is a
+// *dialError.
+func (cln *client) dial(addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), cln.timeout)
+	defer cancel()
+	var dia interface {
+		DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+	} = &net.Dialer{}
+	if cln.tls != nil {
+		dia = &tls.Dialer{Config: cln.tls}
+	}
+	con, err := dia.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, &dialError{err: err}
+	}
+	return con, nil
 }
 
 // get reads the answer to a GET into out.
--- a/io/oper/opcli/run.go
+++ b/io/oper/opcli/run.go
@@ -34,8 +34,18 @@
 	Key     string        `long:"key" env:"KUMCTL_KEY" value-name:"KEY" description:"Operator's key; not needed on loopback if the entry VM names no operators"`
 	Output  string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"Form of the output"`
 	Timeout time.Duration `long:"timeout" default:"15s" value-name:"TIME" description:"Time that each entry VM gets to answer"`
+	TLS     tlsFlags      `group:"Mutual TLS" namespace:"tls" env-namespace:"KUMCTL_TLS"`
 }
 
+// tlsFlags name the files for mutual TLS. Without any, there is no TLS.
+type tlsFlags struct {
+	Cert string `long:"cert" env:"CERT" value-name:"FILE" description:"Certificate of the operator, in PEM"`
+	Key  string `long:"key" env:"KEY" value-name:"FILE" description:"Private key of the certificate, in PEM"`
+	CA   string `long:"ca" env:"CA" value-name:"FILE" description:"Authorities that sign the entry VMs' certificates, in PEM"`
+}
+
+func (flg tlsFlags) enabled() bool { return flg.Cert != "" || flg.Key != "" || flg.CA != "" }
+
 // app is one run of the command line.
 type app struct {
 	globals
@@ -104,6 +114,7 @@
 
 func newParser(apl *app) (*flags.Parser, error) {
 	psr := flags.NewNamedParser("kumctl", flags.HelpFlag|flags.PassDoubleDash)
+	psr.NamespaceDelimiter = "-"
 	psr.LongDescription = "Kumctl shows and changes what runs on the entry VMs."
 	_, err := psr.AddGroup("Global options", "", &apl.globals)
 	if err != nil {
@@ -113,7 +124,11 @@
 		if len(rest) > 0 {
 			return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
 		}
-		apl.cln = newClient(&apl.globals)
+		cln, clnErr := newClient(&apl.globals)
+		if clnErr != nil {
+			return clnErr
+		}
+		apl.cln = cln
 		return cmd.Execute(rest)
 	}
 	for _, cmd := range commands(apl) {
--- a/io/oper/opcli/run_test.go
+++ b/io/oper/opcli/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"net"
 	"os"
@@ -15,6 +17,8 @@
 
 	"kumquathinge/core"
 	"kumquathinge/core/tree"
+	"kumquathinge/io/certs"
+	"kumquathinge/io/certs/certfk"
 	"kumquathinge/io/oper"
 	"kumquathinge/io/oper/opcli"
 	"kumquathinge/io/oper/operfk"
@@ -227,6 +231,37 @@
 	assert.Equal(t, cod, 10, errs)
 }
 
+// TestMutualTLS calls a server that demands a certificate.
+func TestMutualTLS(t *testing.T) {
+	now := time.Now()
+	aut, err := certfk.New(t.TempDir(), "ca", now)
+	assert.NilError(t, err)
+	fil, err := aut.Sign("ana", now.Add(-time.Hour), now.Add(time.Hour), x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth)
+	assert.NilError(t, err)
+	cfg, err := certs.Load(fil, now)
+	assert.NilError(t, err)
+	api, err := oper.New(operfk.New(), oper.Config{})
+	assert.NilError(t, err)
+	lis, err := tls.Listen("tcp", "127.0.0.1:0", cfg)
+	assert.NilError(t, err)
+	srv := api.Server()
+	go srv.Serve(lis)
+	defer srv.Shutdown()
+	good := []string{"--tls-cert", fil.Cert, "--tls-key", fil.Key, "--tls-ca", fil.CA}
+	for _, tt := range []struct {
+		args []string
+		exit int
+	}{
+		{good, 0},
+		{nil, 10},
+		{good[:4], 60},
+		{append([]string{"--tls-cert", fil.Key}, good[2:]...), 60},
+	} {
+		cod, _, errs := kumctl("", append(tt.args, "-s", lis.Addr().String(), "get", "/")...)
+		assert.Equal(t, cod, tt.exit, errs)
+	}
+}
+
 func FuzzDecodeFile(f *testing.F) {
 	f.Add([]byte(`{"/":{"group.size":2,"group.zone":null}}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
