Join in kumctl what the entry VMs of several zones know

An entry VM probes the groups of its own zone only, so that the status of one node told 1 of 4 groups serving where all four were. Status, groups, vms and nodes now ask every server given and believe of each group and VM the node of its zone; a group of a zone not asked is shown as not known. Nodes with different hashes at one offset are marked.

--- a/io/oper/opcli/client.go
+++ b/io/oper/opcli/client.go
@@ -93,26 +93,33 @@
 	return con, nil
 }
 
-// get reads the answer to a GET into out.
+// get reads the answer of the first server that can give one into out.
 func (cln *client) get(path string, query url.Values, out any) error {
 	var last error
 	for _, srv := range cln.servers {
-		uri := "http://" + srv + path
-		if len(query) > 0 {
-			uri += "?" + query.Encode()
-		}
-		err := cln.call(fasthttp.MethodGet, uri, nil, out)
-		if err == nil {
+		last = cln.getFrom(srv, path, query, out)
+		if last == nil {
 			return nil
 		}
-		last = onServer(srv, err)
-		if answered(err) && codeOf(err) != core.CodeNotReady {
+		if cod := codeOf(last); cod != core.CodeNotReady && cod != core.CodePeerUnreachable {
 			return last
 		}
 	}
 	return last
 }
 
+func (cln *client) getFrom(srv, path string, query url.Values, out any) error {
+	uri := "http://" + srv + path
+	if len(query) > 0 {
+		uri += "?" + query.Encode()
+	}
+	err := cln.call(fasthttp.MethodGet, uri, nil, out)
+	if err != nil {
+		return onServer(srv, err)
+	}
+	return nil
+}
+
 // change sends a change with the ID id and reads the receipt into out. It
 // returns an error with oper.StateNotAccepted only if no server can have
 // appended the change.
--- a/io/oper/opcli/help.go
+++ b/io/oper/opcli/help.go
@@ -53,12 +53,12 @@
 Example:
   kumctl outcome 0b6f2c1e-64a5-4b4e-9c57-0e3d5c0f7a11`
 
-	helpStatus = `Status shows how the node that answers sees the system: the log, the groups that do not serve and why, stranded VMs, entry VMs, and quarantined requests.
+	helpStatus = `Status shows the log as the first entry VM sees it, the groups that do not serve and why, stranded VMs, entry VMs, and quarantined requests. An entry VM knows the groups and VMs of its own zone; name one of each zone to see all.
 
 Example:
   kumctl -s 10.0.0.1:7080,10.0.0.2:7080 status`
 
-	helpLists = `Lists what the node that answers knows.
+	helpLists = `Lists what the entry VMs that answer know together. Each knows the groups and VMs of its own zone.
 
 Examples:
   kumctl groups
--- a/io/oper/opcli/run.go
+++ b/io/oper/opcli/run.go
@@ -30,7 +30,7 @@
 
 // globals are the flags of every command.
 type globals struct {
-	Server  []string      `short:"s" long:"server" env:"KUMCTL_SERVER" env-delim:"," default:"127.0.0.1:7080" value-name:"HOST:PORT" description:"Operators' address of an entry VM; give more for others to step in"`
+	Server  []string      `short:"s" long:"server" env:"KUMCTL_SERVER" env-delim:"," default:"127.0.0.1:7080" value-name:"HOST:PORT" description:"Operators' address of an entry VM; give more for others to step in, and one of each zone to see all groups"`
 	Key     string        `long:"key" env:"KUMCTL_KEY" value-name:"KEY" description:"Operator's key; not needed on loopback if the entry VM names no operators"`
 	Output  string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"Form of the output"`
 	Timeout time.Duration `long:"timeout" default:"15s" value-name:"TIME" description:"Time that each entry VM gets to answer"`
@@ -49,9 +49,10 @@
 // app is one run of the command line.
 type app struct {
 	globals
-	out io.Writer
-	in  io.Reader
-	cln *client
+	out  io.Writer
+	errw io.Writer
+	in   io.Reader
+	cln  *client
 }
 
 // ExitCode returns the exit code for a result code: 0 for core.CodeOK, 10 for
@@ -63,16 +64,16 @@
 // Main runs the command line args and returns the exit code: that of the
 // result code, 1 if diff found differences, or 2 if args are wrong.
 func Main(args []string, in io.Reader, out, errw io.Writer) int {
-	apl := &app{out: out, in: in}
+	apl := &app{out: out, errw: errw, in: in}
 	psr, err := newParser(apl)
 	if err != nil {
 		panic(err)
 	}
 	_, err = psr.ParseArgs(args)
-	return apl.exit(err, errw)
+	return apl.exit(err)
 }
 
-func (apl *app) exit(err error, errw io.Writer) int {
+func (apl *app) exit(err error) int {
 	var fle *flags.Error
 	switch {
 	case err == nil:
@@ -83,17 +84,17 @@
 		_, _ = fmt.Fprintln(apl.out, fle.Message)
 		return exitOK
 	case errors.As(err, &fle):
-		_, _ = fmt.Fprintln(errw, "kumctl:", fle.Message)
+		_, _ = fmt.Fprintln(apl.errw, "kumctl:", fle.Message)
 		return exitUsage
 	}
-	apl.showError(err, errw)
+	apl.showError(err)
 	return ExitCode(codeOf(err))
 }
 
 // showError prints err in the form of the output.
-func (apl *app) showError(err error, errw io.Writer) {
+func (apl *app) showError(err error) {
 	if apl.Output != outputJSON {
-		_, _ = fmt.Fprintln(errw, "kumctl:", err)
+		_, _ = fmt.Fprintln(apl.errw, "kumctl:", err)
 		return
 	}
 	out := oper.Failure{Code: codeOf(err), Error: err.Error()}
@@ -101,7 +102,7 @@
 	if errors.As(err, &flr) {
 		out = flr.Failure
 	}
-	_ = json.NewEncoder(errw).Encode(out)
+	_ = json.NewEncoder(apl.errw).Encode(out)
 }
 
 // command is a command with its help.
--- a/io/oper/opcli/run_test.go
+++ b/io/oper/opcli/run_test.go
@@ -231,6 +231,43 @@
 	assert.Equal(t, cod, 10, errs)
 }
 
+// TestOverview joins what entry VMs of two zones know, while a third does not
+// answer: of each group the node of its own zone is believed.
+func TestOverview(t *testing.T) {
+	var args []string
+	for _, zon := range []core.Zone{"a", "b"} {
+		sta := oper.Status{Node: core.NodeName("entry-" + zon), Ready: true}
+		for _, oth := range []core.Zone{"a", "b", "c"} {
+			grp := oper.GroupStatus{Name: core.GroupName("g-" + oth), Zone: oth, Serving: oth == zon && zon == "a"}
+			if oth != zon {
+				grp.Code, grp.Why = core.CodeGroupUnknown, "of another zone"
+			} else if oth == "b" {
+				grp.Code, grp.Why = core.CodeMemberMissing, "vm-4 is gone"
+			}
+			sta.Groups = append(sta.Groups, grp)
+			hash := "1"
+			if oth == "b" {
+				hash = "2"
+			}
+			sta.Nodes = append(sta.Nodes, oper.NodeStatus{Name: core.NodeName("entry-" + oth), Zone: oth, Live: oth != "c", Hash: hash, HashAt: 7})
+		}
+		nod := operfk.New()
+		nod.SetStatus(sta)
+		args = append(args, "-s", serve(t, nod))
+	}
+	args = append(args, "-s", refusing(t))
+	var all string
+	for _, cmd := range []string{"status", "groups", "nodes"} {
+		cod, out, errs := kumctl("", append([]string{cmd}, args...)...)
+		assert.Equal(t, cod, 0)
+		assert.Assert(t, strings.Contains(errs, "code 121"), errs)
+		all += out
+	}
+	golden.Assert(t, all, "overview.golden")
+	cod, _, _ := kumctl("", "-s", refusing(t), "status")
+	assert.Equal(t, cod, 10)
+}
+
 // TestMutualTLS calls a server that demands a certificate.
 func TestMutualTLS(t *testing.T) {
 	now := time.Now()
--- a/io/oper/opcli/status.go
+++ b/io/oper/opcli/status.go
@@ -13,56 +13,64 @@
 
 // Execute shows what does not run as it should.
 func (cmd *statusCommand) Execute([]string) error {
-	var sta oper.Status
-	err := cmd.apl.cln.get("/v1/status", nil, &sta)
+	ovw, err := cmd.apl.overview()
 	if err != nil {
 		return err
 	}
-	return cmd.apl.show(sta, func(wri io.Writer) { statusText(wri, sta) })
+	return cmd.apl.show(ovw.Status, func(wri io.Writer) { ovw.text(wri) })
 }
 
-func statusText(wri io.Writer, sta oper.Status) {
+func (ovw overview) text(wri io.Writer) {
 	ready := "ready"
-	if !sta.Ready {
-		ready = "not ready, code " + codeText(sta.Code) + ": " + clean(sta.Why)
+	if !ovw.Ready {
+		ready = "not ready, code " + codeText(ovw.Code) + ": " + clean(ovw.Why)
 	}
-	printf(wri, "node    %s  %s\n", clean(string(sta.Node)), ready)
+	printf(wri, "node    %s  %s\n", clean(string(ovw.Node)), ready)
 	log := "reachable"
-	if !sta.Log.OK {
+	if !ovw.Log.OK {
 		log = "NOT reachable"
 	}
-	if sta.Log.Detail != "" {
-		log += " (" + clean(sta.Log.Detail) + ")"
+	if ovw.Log.Detail != "" {
+		log += " (" + clean(ovw.Log.Detail) + ")"
 	}
-	printf(wri, "log     %s  applied %d  hash %s\n", log, sta.Log.Applied, clean(sta.Log.Hash))
-	down := groupsDown(sta.Groups)
-	printf(wri, "groups  %d of %d serving\n", len(sta.Groups)-len(down), len(sta.Groups))
-	stranded := strandedVMs(sta.VMs)
-	printf(wri, "vms     %d, stranded %d\n", len(sta.VMs), len(stranded))
-	printf(wri, "nodes   %d of %d live\n", liveNodes(sta.Nodes), len(sta.Nodes))
-	printf(wri, "quarantined requests  %d\n", len(sta.Quarantine))
+	printf(wri, "log     %s  applied %d  hash %s\n", log, ovw.Log.Applied, clean(ovw.Log.Hash))
+	down, unseen := ovw.groupsDown()
+	printf(wri, "groups  %d serving, %d not", len(ovw.Groups)-len(down)-unseen, len(down))
+	if unseen > 0 {
+		printf(wri, ", %d in zones not asked", unseen)
+	}
+	stranded := strandedVMs(ovw.VMs)
+	printf(wri, "\nvms     %d, stranded %d\n", len(ovw.VMs), len(stranded))
+	printf(wri, "nodes   %d of %d live\n", liveNodes(ovw.Nodes), len(ovw.Nodes))
+	printf(wri, "quarantined requests  %d\n", len(ovw.Quarantine))
 	if len(down) > 0 {
 		printf(wri, "\ngroups not serving\n")
-		groupTable(wri, down)
+		ovw.groupTable(wri, down)
 	}
 	if len(stranded) > 0 {
 		printf(wri, "\nstranded VMs\n")
 		vmTable(wri, stranded)
 	}
-	if len(sta.Quarantine) > 0 {
+	if len(ovw.Quarantine) > 0 {
 		printf(wri, "\nquarantine\n")
-		quarantineTable(wri, sta.Quarantine)
+		quarantineTable(wri, ovw.Quarantine)
 	}
 }
 
-func groupsDown(grps []oper.GroupStatus) []oper.GroupStatus {
+// groupsDown returns the groups that do not serve, and the number of those of
+// which this is not known.
+func (ovw overview) groupsDown() ([]oper.GroupStatus, int) {
 	var out []oper.GroupStatus
-	for _, grp := range grps {
-		if !grp.Serving {
+	var unseen int
+	for _, grp := range ovw.Groups {
+		switch {
+		case !ovw.seen.Has(grp.Zone):
+			unseen++
+		case !grp.Serving:
 			out = append(out, grp)
 		}
 	}
-	return out
+	return out, unseen
 }
 
 func strandedVMs(vms []oper.VMStatus) []oper.VMStatus {
@@ -97,24 +105,28 @@
 
 // Execute lists the groups.
 func (cmd *groupsCommand) Execute([]string) error {
-	var lst oper.Groups
-	err := cmd.apl.cln.get("/v1/groups", nil, &lst)
+	ovw, err := cmd.apl.overview()
 	if err != nil {
 		return err
 	}
-	return cmd.apl.show(lst, func(wri io.Writer) { groupTable(wri, lst.Groups) })
+	return cmd.apl.show(oper.Groups{Groups: ovw.Groups}, func(wri io.Writer) { ovw.groupTable(wri, ovw.Groups) })
 }
 
-func groupTable(wri io.Writer, grps []oper.GroupStatus) {
+func (ovw overview) groupTable(wri io.Writer, grps []oper.GroupStatus) {
 	var rows [][]string
 	for _, grp := range grps {
+		serving := yesNo(grp.Serving)
 		why := ""
-		if !grp.Serving {
+		switch {
+		case !ovw.seen.Has(grp.Zone):
+			serving = "?"
+			why = "ask an entry VM of zone " + string(grp.Zone)
+		case !grp.Serving:
 			why = codeText(grp.Code) + " " + grp.Why
 		}
 		rows = append(rows, []string{
 			string(grp.Name), string(grp.Model), grp.Version, string(grp.Zone), string(grp.Domain), string(grp.Phase),
-			offsetText(grp.Order), yesNo(grp.Serving), strconv.Itoa(grp.InFlight), joined(grp.Members), why,
+			offsetText(grp.Order), serving, strconv.Itoa(grp.InFlight), joined(grp.Members), why,
 		})
 	}
 	head := []string{"GROUP", "MODEL", "VERSION", "ZONE", "DOMAIN", "PHASE", "ORDER", "SERVING", "RUNNING", "MEMBERS", "WHY NOT"}
@@ -125,12 +137,11 @@
 
 // Execute lists the backend servers.
 func (cmd *vmsCommand) Execute([]string) error {
-	var lst oper.VMs
-	err := cmd.apl.cln.get("/v1/vms", nil, &lst)
+	ovw, err := cmd.apl.overview()
 	if err != nil {
 		return err
 	}
-	return cmd.apl.show(lst, func(wri io.Writer) { vmTable(wri, lst.VMs) })
+	return cmd.apl.show(oper.VMs{VMs: ovw.VMs}, func(wri io.Writer) { vmTable(wri, ovw.VMs) })
 }
 
 func vmTable(wri io.Writer, vms []oper.VMStatus) {
@@ -165,12 +176,11 @@
 
 // Execute lists the entry VMs.
 func (cmd *nodesCommand) Execute([]string) error {
-	var lst oper.Nodes
-	err := cmd.apl.cln.get("/v1/nodes", nil, &lst)
+	ovw, err := cmd.apl.overview()
 	if err != nil {
 		return err
 	}
-	return cmd.apl.show(lst, func(wri io.Writer) { nodeTable(wri, lst.Nodes) })
+	return cmd.apl.show(oper.Nodes{Nodes: ovw.Nodes}, func(wri io.Writer) { nodeTable(wri, ovw.Nodes) })
 }
 
 func nodeTable(wri io.Writer, nods []oper.NodeStatus) {
@@ -178,14 +188,17 @@
 	for _, nod := range nods {
 		rows = append(rows, []string{
 			string(nod.Name), string(nod.Zone), nod.Addr, yesNo(nod.Live), offsetText(nod.Applied),
-			nod.Hash, offsetText(nod.HashAt), yesNo(nod.LogOK), strconv.Itoa(nod.InFlight), nodeRemarks(nod),
+			nod.Hash, offsetText(nod.HashAt), yesNo(nod.LogOK), strconv.Itoa(nod.InFlight), nodeRemarks(nod, nods),
 		})
 	}
 	table(wri, []string{"NODE", "ZONE", "ADDR", "LIVE", "APPLIED", "HASH", "HASH AT", "LOG", "RUNNING", "REMARKS"}, rows)
 }
 
-func nodeRemarks(nod oper.NodeStatus) string {
+func nodeRemarks(nod oper.NodeStatus, nods []oper.NodeStatus) string {
 	var out []string
+	if hashDiffers(nod, nods) {
+		out = append(out, "HASH DIFFERS")
+	}
 	if nod.Stopping {
 		out = append(out, "stopping")
 	}
