--- a/io/oper/opcli/client.go
+++ b/io/oper/opcli/client.go
@@ -142,14 +142,27 @@
 		maybe = maybe || !notAccepted(err)
 	}
 	if maybe {
-		flr := failf(core.CodeSettingUncertain, "not known whether accepted: %v", last)
-		flr.ID = id
-		flr.State = oper.StateUnknown
-		return flr
+		return uncertain(last, id)
 	}
 	return last
 }
 
+// uncertain returns an error that states that the change may be appended.
+func uncertain(last error, id core.RecordID) error {
+	var flr *failure
+	if errors.As(last, &flr) && flr.State == oper.StateUnknown {
+		return flr
+	}
+	txt := last.Error()
+	if flr != nil {
+		txt = flr.Failure.Error
+	}
+	out := failf(core.CodeSettingUncertain, "not known whether accepted: %s", txt)
+	out.ID = id
+	out.State = oper.StateUnknown
+	return out
+}
+
 // call makes one call. Its error is a *failure if the server answered.
 func (cln *client) call(method, uri string, body []byte, out any) error {
 	req := fasthttp.AcquireRequest()
--- a/io/oper/opcli/read.go
+++ b/io/oper/opcli/read.go
@@ -157,9 +157,9 @@
 }
 
 func auditRow(lin fold.AuditLine) []string {
-	change := lin.Key
-	if lin.Kind == fold.KindSetting {
-		change += ": " + orDash(lin.Old) + " -> " + orDash(lin.New)
+	change := orDash(lin.Old) + " -> " + orDash(lin.New)
+	if lin.Key != "" {
+		change = lin.Key + ": " + change
 	}
 	note := lin.Note
 	if lin.Code != core.CodeOK {
--- a/io/oper/opcli/status.go
+++ b/io/oper/opcli/status.go
@@ -122,7 +122,7 @@
 			serving = "?"
 			why = "ask an entry VM of zone " + string(grp.Zone)
 		case !grp.Serving:
-			why = codeText(grp.Code) + " " + grp.Why
+			why = codeText(grp.Code) + " " + strings.TrimPrefix(grp.Why, "code "+codeText(grp.Code)+": ")
 		}
 		rows = append(rows, []string{
 			string(grp.Name), string(grp.Model), grp.Version, string(grp.Zone), string(grp.Domain), string(grp.Phase),
