--- /dev/null
+++ b/io/oper/opcli/docs_test.go
@@ -0,0 +1,39 @@
+package opcli_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core/tree"
+)
+
+const operationsDoc = "../../../docs/OPERATIONS.md"
+
+var (
+	settingName = regexp.MustCompile("`((?:group|model|vm|node|org|request|queue|once|probe|order|policy|weights|quarantine|stop|service)\\.[a-z_]+)`")
+	commandName = regexp.MustCompile(`kumctl ((?:-s \S+ )?)([a-z]+)`)
+)
+
+// TestOperationsPage checks that the page names settings and commands that
+// there are.
+func TestOperationsPage(t *testing.T) {
+	doc, err := os.ReadFile(operationsDoc)
+	assert.NilError(t, err)
+	known := make(map[string]bool)
+	for _, key := range tree.Keys() {
+		known[key.Name] = true
+	}
+	names := settingName.FindAllStringSubmatch(string(doc), -1)
+	assert.Assert(t, len(names) > 0)
+	for _, mat := range names {
+		assert.Assert(t, known[mat[1]], "no setting %s", mat[1])
+	}
+	_, help, _ := kumctl("", "--help")
+	for _, mat := range commandName.FindAllStringSubmatch(string(doc), -1) {
+		assert.Assert(t, strings.Contains(help, "\n  "+mat[2]+" ") || mat[2] == "does", "no command %s", mat[2])
+	}
+}
--- a/io/oper/opcli/read.go
+++ b/io/oper/opcli/read.go
@@ -39,6 +39,9 @@
 			rows = append(rows, []string{val.Key, string(val.Value), string(val.Origin), offsetText(val.Version)})
 		}
 		table(wri, []string{"KEY", "VALUE", "ORIGIN", "VERSION"}, rows)
+		if len(cmd.Args.Keys) > 0 {
+			return
+		}
 		for _, chi := range set.Children {
 			printf(wri, "below: %s\n", clean(string(chi)))
 		}
