--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -36,6 +36,9 @@
 	if _, ok := mac.entries[itm.ID]; ok {
 		panic(fmt.Sprintf("admit: item %d offered twice", itm.ID))
 	}
+	if itm.Work == 0 {
+		itm.Work = itm.Cost
+	}
 	og := mac.org(itm.Org)
 	og.demand.add(itm.Cost, mac.cfg.UsageTime, now)
 	itm.Priority = min(max(itm.Priority, 0), og.limits.Priority, mac.cfg.Priorities-1)
@@ -47,7 +50,7 @@
 	if wait := og.take(itm.Cost, mac.cfg.Burst, now); wait > 0 {
 		return mac.flush(Refuse{ID: itm.ID, Code: core.CodeOrgLimit, After: wait})
 	}
-	ent := &entry{item: itm, org: og, pool: pol, flow: flw}
+	ent := &entry{item: itm, org: og, pool: pol, flow: flw, due: mac.due(itm, now)}
 	mac.entries[itm.ID] = ent
 	pol.push(ent)
 	mac.bound(pol, flw)
@@ -55,6 +58,16 @@
 	return mac.flush()
 }
 
+// due returns the time that an item's place in its queue goes by: its
+// deadline, but no later than Patience from now.
+func (mac *Machine) due(itm Item, now time.Time) time.Time {
+	last := now.Add(mac.cfg.Patience)
+	if itm.Deadline.IsZero() || itm.Deadline.After(last) {
+		return last
+	}
+	return itm.Deadline
+}
+
 // late returns the refusal of an item that can't end before its deadline. An
 // idle model takes any item whose deadline is still to come, so that an
 // estimate that is too high gets corrected.
@@ -66,11 +79,11 @@
 	if left > 0 && pol.running == 0 && pol.waiting == 0 {
 		return Refuse{}, false
 	}
-	need := seconds(pol.delay(flw, flw.ahead(itm.Priority)) + pol.service(itm.Cost))
+	need := seconds(pol.delay(flw, flw.ahead(itm.Priority)) + pol.service(itm.Work))
 	if need < left {
 		return Refuse{}, false
 	}
-	after := max(need-left, time.Millisecond)
+	after := max(need-left+pol.turn(), time.Millisecond)
 	return Refuse{ID: itm.ID, Code: core.CodeDeadline, After: after}, true
 }
 
@@ -85,8 +98,7 @@
 }
 
 func (mac *Machine) drop(ent *entry) {
-	after := seconds(ent.pool.delay(ent.flow, ent.flow.backlog))
-	mac.refuse(ent, core.CodeQueueFull, max(after, time.Millisecond))
+	mac.refuse(ent, core.CodeQueueFull, max(ent.pool.turn(), time.Millisecond))
 }
 
 // refuse answers a waiting item and gives back what it was charged.
@@ -122,12 +134,12 @@
 	if ent.pool.running == 0 {
 		return left <= 0
 	}
-	return seconds(ent.pool.service(ent.item.Cost)) >= left
+	return seconds(ent.pool.service(ent.item.Work)) >= left
 }
 
 func (mac *Machine) admit(ent *entry, now time.Time) {
 	ent.pool.remove(ent)
-	ent.flow.tag += ent.item.Cost / ent.org.weight()
+	ent.flow.tag += ent.item.Work / ent.org.weight()
 	ent.running = true
 	ent.started = now
 	ent.pool.running++
@@ -143,7 +155,7 @@
 		panic(fmt.Sprintf("admit: item %d is done but was not admitted", id))
 	}
 	if tokens > 0 {
-		ent.pool.observe(float64(tokens), now.Sub(ent.started), mac.cfg.Gain)
+		ent.pool.observe(ent.item.Work, now.Sub(ent.started), mac.cfg.Gain)
 	}
 	mac.end(ent, float64(tokens), now)
 	return mac.flush()
@@ -167,7 +179,7 @@
 
 func (mac *Machine) end(ent *entry, tokens float64, now time.Time) {
 	diff := tokens - ent.item.Cost
-	ent.flow.tag += diff / ent.org.weight()
+	ent.flow.tag += diff / ent.item.Cost * ent.item.Work / ent.org.weight()
 	ent.org.settle(diff)
 	ent.pool.running--
 	ent.org.running--
@@ -199,20 +211,35 @@
 	return mac.flush()
 }
 
+// stale returns the waiting items that can't end in time any more, since
+// their service is due or since others have come before them.
 func (pol *pool) stale(mac *Machine, now time.Time) []*entry {
 	var out []*entry
 	for _, flw := range pol.active {
-		for _, que := range flw.queues {
-			for _, ent := range que {
-				if mac.expired(ent, now) {
+		var ahead float64
+		for pri := len(flw.queues) - 1; pri >= 0; pri-- {
+			for _, ent := range flw.queues[pri] {
+				if mac.expired(ent, now) || mac.passed(ent, ahead, now) {
 					out = append(out, ent)
+					continue
 				}
+				ahead += ent.item.Work
 			}
 		}
 	}
 	return out
 }
 
+// passed reports whether a waiting item with so much work ahead of it can't
+// end before its deadline.
+func (mac *Machine) passed(ent *entry, ahead float64, now time.Time) bool {
+	if ent.item.Deadline.IsZero() || ent.pool.running == 0 {
+		return false
+	}
+	need := ent.pool.delay(ent.flow, ahead) + ent.pool.service(ent.item.Work)
+	return seconds(need) >= ent.item.Deadline.Sub(now)
+}
+
 func (mac *Machine) flush(acts ...Action) []Action {
 	out := append(mac.acts, acts...)
 	mac.acts = nil
--- a/io/oper/opcli/client.go
+++ b/io/oper/opcli/client.go
@@ -1,6 +1,8 @@
 package opcli
 
 import (
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core"
+	"kumquathinge/io/certs"
 	"kumquathinge/io/oper"
 )
 
@@ -51,45 +54,72 @@
 	servers []string
 	key     string
 	timeout time.Duration
+	tls     *tls.Config
 	cli     *fasthttp.Client
 }
 
-func newClient(glo *globals) *client {
+func newClient(glo *globals) (*client, error) {
 	cln := &client{servers: glo.Server, key: glo.Key, timeout: glo.Timeout}
+	if glo.TLS.enabled() {
+		cfg, err := certs.Load(certs.Files{Cert: glo.TLS.Cert, Key: glo.TLS.Key, CA: glo.TLS.CA}, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		cln.tls = cfg
+	}
 	cln.cli = &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
-		Dial: func(addr string) (net.Conn, error) {
-			con, err := net.DialTimeout("tcp", addr, cln.timeout)
-			if err != nil {
-				return nil, &dialError{err: err}
-			}
-			return con, nil
-		},
+		Dial:                      cln.dial,
+	}
+	return cln, nil
+}
+
+// dial connects to addr, with TLS if certificates are given. Its error is a
+// *dialError.
+func (cln *client) dial(addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), cln.timeout)
+	defer cancel()
+	var dia interface {
+		DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+	} = &net.Dialer{}
+	if cln.tls != nil {
+		dia = &tls.Dialer{Config: cln.tls}
+	}
+	con, err := dia.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, &dialError{err: err}
 	}
-	return cln
+	return con, nil
 }
 
-// get reads the answer to a GET into out.
+// get reads the answer of the first server that can give one into out.
 func (cln *client) get(path string, query url.Values, out any) error {
 	var last error
 	for _, srv := range cln.servers {
-		uri := "http://" + srv + path
-		if len(query) > 0 {
-			uri += "?" + query.Encode()
-		}
-		err := cln.call(fasthttp.MethodGet, uri, nil, out)
-		if err == nil {
+		last = cln.getFrom(srv, path, query, out)
+		if last == nil {
 			return nil
 		}
-		last = onServer(srv, err)
-		if answered(err) && codeOf(err) != core.CodeNotReady {
+		if cod := codeOf(last); cod != core.CodeNotReady && cod != core.CodePeerUnreachable {
 			return last
 		}
 	}
 	return last
 }
 
+func (cln *client) getFrom(srv, path string, query url.Values, out any) error {
+	uri := "http://" + srv + path
+	if len(query) > 0 {
+		uri += "?" + query.Encode()
+	}
+	err := cln.call(fasthttp.MethodGet, uri, nil, out)
+	if err != nil {
+		return onServer(srv, err)
+	}
+	return nil
+}
+
 // change sends a change with the ID id and reads the receipt into out. It
 // returns an error with oper.StateNotAccepted only if no server can have
 // appended the change.
@@ -112,14 +142,27 @@
 		maybe = maybe || !notAccepted(err)
 	}
 	if maybe {
-		flr := failf(core.CodeSettingUncertain, "not known whether accepted: %v", last)
-		flr.ID = id
-		flr.State = oper.StateUnknown
-		return flr
+		return uncertain(last, id)
 	}
 	return last
 }
 
+// uncertain returns an error that states that the change may be appended.
+func uncertain(last error, id core.RecordID) error {
+	var flr *failure
+	if errors.As(last, &flr) && flr.State == oper.StateUnknown {
+		return flr
+	}
+	txt := last.Error()
+	if flr != nil {
+		txt = flr.Failure.Error
+	}
+	out := failf(core.CodeSettingUncertain, "not known whether accepted: %s", txt)
+	out.ID = id
+	out.State = oper.StateUnknown
+	return out
+}
+
 // call makes one call. Its error is a *failure if the server answered.
 func (cln *client) call(method, uri string, body []byte, out any) error {
 	req := fasthttp.AcquireRequest()
--- a/io/oper/opcli/read.go
+++ b/io/oper/opcli/read.go
@@ -39,6 +39,9 @@
 			rows = append(rows, []string{val.Key, string(val.Value), string(val.Origin), offsetText(val.Version)})
 		}
 		table(wri, []string{"KEY", "VALUE", "ORIGIN", "VERSION"}, rows)
+		if len(cmd.Args.Keys) > 0 {
+			return
+		}
 		for _, chi := range set.Children {
 			printf(wri, "below: %s\n", clean(string(chi)))
 		}
@@ -157,9 +160,9 @@
 }
 
 func auditRow(lin fold.AuditLine) []string {
-	change := lin.Key
-	if lin.Kind == fold.KindSetting {
-		change += ": " + orDash(lin.Old) + " -> " + orDash(lin.New)
+	change := orDash(lin.Old) + " -> " + orDash(lin.New)
+	if lin.Key != "" {
+		change = lin.Key + ": " + change
 	}
 	note := lin.Note
 	if lin.Code != core.CodeOK {
--- a/io/oper/opcli/run_test.go
+++ b/io/oper/opcli/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"net"
 	"os"
@@ -15,6 +17,8 @@
 
 	"kumquathinge/core"
 	"kumquathinge/core/tree"
+	"kumquathinge/io/certs"
+	"kumquathinge/io/certs/certfk"
 	"kumquathinge/io/oper"
 	"kumquathinge/io/oper/opcli"
 	"kumquathinge/io/oper/operfk"
@@ -227,6 +231,74 @@
 	assert.Equal(t, cod, 10, errs)
 }
 
+// TestOverview joins what entry VMs of two zones know, while a third does not
+// answer: of each group the node of its own zone is believed.
+func TestOverview(t *testing.T) {
+	var args []string
+	for _, zon := range []core.Zone{"a", "b"} {
+		sta := oper.Status{Node: core.NodeName("entry-" + zon), Ready: true}
+		for _, oth := range []core.Zone{"a", "b", "c"} {
+			grp := oper.GroupStatus{Name: core.GroupName("g-" + oth), Zone: oth, Serving: oth == zon && zon == "a"}
+			if oth != zon {
+				grp.Code, grp.Why = core.CodeGroupUnknown, "of another zone"
+			} else if oth == "b" {
+				grp.Code, grp.Why = core.CodeMemberMissing, "vm-4 is gone"
+			}
+			sta.Groups = append(sta.Groups, grp)
+			hash := "1"
+			if oth == "b" {
+				hash = "2"
+			}
+			sta.Nodes = append(sta.Nodes, oper.NodeStatus{Name: core.NodeName("entry-" + oth), Zone: oth, Live: oth != "c", Hash: hash, HashAt: 7})
+		}
+		nod := operfk.New()
+		nod.SetStatus(sta)
+		args = append(args, "-s", serve(t, nod))
+	}
+	args = append(args, "-s", refusing(t))
+	var all string
+	for _, cmd := range []string{"status", "groups", "nodes"} {
+		cod, out, errs := kumctl("", append([]string{cmd}, args...)...)
+		assert.Equal(t, cod, 0)
+		assert.Assert(t, strings.Contains(errs, "code 121"), errs)
+		all += out
+	}
+	golden.Assert(t, all, "overview.golden")
+	cod, _, _ := kumctl("", "-s", refusing(t), "status")
+	assert.Equal(t, cod, 10)
+}
+
+// TestMutualTLS calls a server that demands a certificate.
+func TestMutualTLS(t *testing.T) {
+	now := time.Now()
+	aut, err := certfk.New(t.TempDir(), "ca", now)
+	assert.NilError(t, err)
+	fil, err := aut.Sign("ana", now.Add(-time.Hour), now.Add(time.Hour), x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth)
+	assert.NilError(t, err)
+	cfg, err := certs.Load(fil, now)
+	assert.NilError(t, err)
+	api, err := oper.New(operfk.New(), oper.Config{})
+	assert.NilError(t, err)
+	lis, err := tls.Listen("tcp", "127.0.0.1:0", cfg)
+	assert.NilError(t, err)
+	srv := api.Server()
+	go srv.Serve(lis)
+	defer srv.Shutdown()
+	good := []string{"--tls-cert", fil.Cert, "--tls-key", fil.Key, "--tls-ca", fil.CA}
+	for _, tt := range []struct {
+		args []string
+		exit int
+	}{
+		{good, 0},
+		{nil, 10},
+		{good[:4], 60},
+		{append([]string{"--tls-cert", fil.Key}, good[2:]...), 60},
+	} {
+		cod, _, errs := kumctl("", append(tt.args, "-s", lis.Addr().String(), "get", "/")...)
+		assert.Equal(t, cod, tt.exit, errs)
+	}
+}
+
 func FuzzDecodeFile(f *testing.F) {
 	f.Add([]byte(`{"/":{"group.size":2,"group.zone":null}}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -16,6 +16,9 @@
 	"kumquathinge/queue"
 )
 
+// hangBound ends a test that would wait without end for a lost slot.
+const hangBound = 10 * time.Second
+
 // start runs a Queue with one slot for model "m" and stops it at the end.
 func start(t *testing.T, cfg queue.Config) (*queue.Queue, func()) {
 	t.Helper()
@@ -130,7 +133,7 @@
 	var grp sync.WaitGroup
 	for idx := range callers {
 		grp.Go(func() {
-			ctx, cancel := context.WithCancel(context.Background())
+			ctx, cancel := context.WithTimeout(context.Background(), hangBound)
 			defer cancel()
 			if idx%4 == 0 {
 				cancel()
@@ -138,7 +141,7 @@
 			job := core.Job{Org: core.OrgName(fmt.Sprint(idx % 5)), Model: "m", MaxTokens: 10}
 			tkt, err := que.Enter(ctx, job)
 			if err != nil {
-				assert.Check(t, core.CodeOf(err) == core.CodeCallerGone)
+				assert.Check(t, idx%4 == 0 && core.CodeOf(err) == core.CodeCallerGone)
 				return
 			}
 			count(1)
@@ -148,8 +151,10 @@
 	}
 	grp.Wait()
 	assert.Assert(t, most <= slots)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
 	for range slots {
-		_, err := que.Enter(context.Background(), core.Job{Model: "m"})
+		_, err := que.Enter(ctx, core.Job{Model: "m"})
 		assert.NilError(t, err)
 	}
 }
