Keep relayed times to the nanosecond; prove the cut-off zone

Cause: an entry VM that followed the log through its peers came to another state hash, took the majority's side as an alarm and turned unready: the peer codec wrote times in whole seconds, and the fold keeps the entry's time. Ruled out: the fold itself (the same entry read from the log gives the same hash) and the relay's order. Change: the codec writes times in RFC 3339 with nanoseconds. New tests cut the second zone from the platform, from its peers and from both, restart an engine there and change a setting, and replace an entry VM meanwhile; a node can be built with a log, list and dialer of its own. An address to advertise can be set apart from the one that is listened on. Conclusion: a cut-off zone serves, reloads a returned member and catches up.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -26,8 +26,13 @@
 	Call time.Duration
 	// Silence bounds the time between two parts of a forwarded answer.
 	Silence time.Duration
+	// Dialer opens connections; nil stands for TCP.
+	Dialer Dialer
 }
 
+// Dialer opens a connection as net.Dialer.DialContext does.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Client is the client of one peer.
 type Client struct {
 	cfg      Config
@@ -43,8 +48,11 @@
 // New returns a client of the peer at the base URL, for example
 // "http://10.0.0.1:7102".
 func New(base string, cfg Config) *Client {
+	if cfg.Dialer == nil {
+		cfg.Dialer = (&net.Dialer{Timeout: cfg.Dial}).DialContext
+	}
 	tra := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: cfg.Dial}).DialContext,
+		DialContext:         cfg.Dialer,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -16,8 +16,21 @@
 // Name returns the content subtype.
 func (codec) Name() string { return codecName }
 
+// encMode keeps times to the nanosecond: the fold of a relayed entry depends
+// on them.
+var encMode = mustEncMode()
+
+// mustEncMode returns the encoding of messages.
+func mustEncMode() cbor.EncMode {
+	enc, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc
+}
+
 // Marshal encodes msg.
-func (codec) Marshal(msg any) ([]byte, error) { return cbor.Marshal(msg) }
+func (codec) Marshal(msg any) ([]byte, error) { return encMode.Marshal(msg) }
 
 // Unmarshal decodes data into msg.
 func (codec) Unmarshal(data []byte, msg any) error { return cbor.Unmarshal(data, msg) }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -14,6 +14,9 @@
 	"kumquathinge/io/peer"
 )
 
+// instant has a part below a second, which the fold of an entry depends on.
+var instant = time.Unix(1796371200, 123456789).UTC()
+
 // backend is a peer whose forwarded jobs do what run does.
 type backend struct {
 	run func(ctx context.Context, snk core.Sink) error
@@ -27,7 +30,7 @@
 	if from == 0 {
 		return core.Page{}, core.Errorf(core.CodeLogGap, "oldest is 5")
 	}
-	return core.Page{First: 1, Next: from + 1, Entries: []core.Entry{{Offset: from, ID: "e", Data: []byte{byte(max)}}}}, nil
+	return core.Page{First: 1, Next: from + 1, Entries: []core.Entry{{Offset: from, ID: "e", At: instant, Data: []byte{byte(max)}}}}, nil
 }
 
 func (bck *backend) State(context.Context) ([]byte, error) { return []byte("state"), nil }
@@ -67,6 +70,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, pag.Entries[0].Offset, core.Offset(7))
 	assert.Equal(t, pag.Entries[0].Data[0], byte(9))
+	assert.Equal(t, pag.Entries[0].At, instant)
 	_, err = cli.Relay(ctx, 0, 9)
 	assert.Equal(t, core.CodeOf(err), core.CodeLogGap)
 	data, err := cli.State(ctx)
--- a/node/beat.go
+++ b/node/beat.go
@@ -69,7 +69,7 @@
 
 // newBeater returns a beater that knows only its own node. Self returns the
 // node's beat and merge takes what a peer's beat says.
-func newBeater(self func() core.Beat, merge func(core.Beat), lst *lister, seeds []string, log *logrus.Logger, now func() time.Time) *beater {
+func newBeater(self func() core.Beat, merge func(core.Beat), lst *lister, seeds []string, dial peer.Dialer, log *logrus.Logger, now func() time.Time) *beater {
 	bet := &beater{
 		self:   self,
 		merge:  merge,
@@ -78,7 +78,7 @@
 		log:    log,
 		now:    now,
 		scheme: "http://",
-		cfg:    peer.Config{Dial: peerDial, Call: peerCall, Silence: peerSilence},
+		cfg:    peer.Config{Dial: peerDial, Call: peerCall, Silence: peerSilence, Dialer: dial},
 		heard:  make(chan core.Beat),
 		asks:   make(chan beatAsk),
 		tab: membr.New(self(), membr.Config{
--- a/node/build.go
+++ b/node/build.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"expvar"
 	"math/rand/v2"
 	"time"
@@ -43,10 +44,14 @@
 // Build wires a node and opens its sockets. Its error carries
 // core.CodeListenFailed if an address can't be listened on, and
 // core.CodeConfigInvalid for a wrong operator.
-func Build(cfg Config, log *logrus.Logger) (*Node, error) {
+func Build(cfg Config, log *logrus.Logger, opts ...Option) (*Node, error) {
+	var opt options
+	for _, set := range opts {
+		set(&opt)
+	}
 	con := dig.New()
 	for _, prv := range []any{
-		func() (Config, *logrus.Logger) { return cfg, log },
+		func() (Config, *logrus.Logger, options) { return cfg, log, opt },
 		func() func() time.Time { return time.Now },
 		newMetrics, newStopper, newListeners, newFacts, newPlatform, newListTask, newBeatTask,
 		newStore, newWorlds, newGate, newProbeTask, newQueue, newJobs,
@@ -72,14 +77,20 @@
 	return &facts{base: core.Beat{
 		Node: cfg.Node,
 		Zone: cfg.Zone,
-		Addr: lis.peers.Addr().String(),
+		Addr: cmp.Or(cfg.Advertise, lis.peers.Addr().String()),
 		Run:  core.Incarnation(uuid.NewString()),
 	}}
 }
 
 // newPlatform returns the clients of the platform's services.
-func newPlatform(cfg Config) (core.Log, core.Lister) {
-	return logs.New("http://" + cfg.Log), vms.New(cfg.VMs)
+func newPlatform(cfg Config, opt options) (core.Log, core.Lister) {
+	if opt.log == nil {
+		opt.log = logs.New("http://" + cfg.Log)
+	}
+	if opt.lister == nil {
+		opt.lister = vms.New(cfg.VMs)
+	}
+	return opt.log, opt.lister
 }
 
 // newListTask returns the task that follows the VM list.
@@ -88,8 +99,8 @@
 }
 
 // newBeatTask returns the task that exchanges beats.
-func newBeatTask(cfg Config, fac *facts, lst *lister, log *logrus.Logger, now func() time.Time) *beater {
-	return newBeater(fac.beat, fac.merge, lst, cfg.Seeds, log, now)
+func newBeatTask(cfg Config, opt options, fac *facts, lst *lister, log *logrus.Logger, now func() time.Time) *beater {
+	return newBeater(fac.beat, fac.merge, lst, cfg.Seeds, opt.dial, log, now)
 }
 
 // newStore returns the task that owns the folded state.
--- a/node/config.go
+++ b/node/config.go
@@ -15,11 +15,13 @@
 )
 
 // Config is the start file of an entry VM. Everything else stands in the
-// settings tree.
+// settings tree. Advertise is the address at which peers reach the node, if it
+// is not the one that the node listens on.
 type Config struct {
 	Node      core.NodeName `json:"node" validate:"required,max=64"`
 	Zone      core.Zone     `json:"zone" validate:"required,max=64"`
 	Listen    Listen        `json:"listen"`
+	Advertise string        `json:"advertise" validate:"omitempty,hostname_port"`
 	Log       string        `json:"log" validate:"required,hostname_port"`
 	VMs       string        `json:"vms" validate:"required,hostname_port"`
 	Seeds     []string      `json:"seeds" validate:"dive,hostname_port"`
--- a/node/nodets/system.go
+++ b/node/nodets/system.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -67,11 +68,15 @@
 	Plain   *stand.Plain
 	Members []*Member
 
-	tst testing.TB
-	cfg Config
-	vms []core.VM
+	tst  testing.TB
+	cfg  Config
+	vms  []core.VM
+	cuts *cuts
 }
 
+// Cut cuts a zone off, or heals it with the zero Cut.
+func (sys *System) Cut(zon core.Zone, cut Cut) { sys.cuts.set(zon, cut) }
+
 // Start starts a System and waits until every group serves. It ends with the
 // test.
 func Start(tst testing.TB, cfg Config) *System {
@@ -85,11 +90,17 @@
 		Plain:   stand.NewPlain("fees-1"),
 		tst:     tst,
 		cfg:     cfg,
+		cuts:    newCuts(),
 	}
 	sys.startStandIns()
 	for idx, zon := range []core.Zone{"z1", "z1", "z2", "z3"} {
 		sys.AddMember(core.NodeName(fmt.Sprintf("e%d", idx+1)), zon)
 	}
+	tst.Cleanup(func() {
+		for _, mem := range sys.Members {
+			mem.Stop()
+		}
+	})
 	sys.configure()
 	sys.AwaitServing(len(cfg.Groups))
 	return sys
@@ -163,8 +174,15 @@
 		Log:    sys.Log.Addr(),
 		VMs:    sys.List.Addr(),
 		Seeds:  seeds,
-	}, log)
+	}, log,
+		node.WithLog(newCutLog(sys.Log.Addr(), sys.cuts, zon)),
+		node.WithLister(newCutLister(sys.List.Addr(), sys.cuts, zon)),
+		node.WithPeerDialer(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return sys.cuts.dial(ctx, zon, network, addr)
+		}),
+	)
 	assert.NilError(sys.tst, err)
+	sys.cuts.listens(nod.Addrs().Peers, zon)
 	ctx, cancel := context.WithCancel(context.Background())
 	mem := &Member{Name: nam, Zone: zon, Node: nod, Addrs: nod.Addrs(), stop: cancel, done: make(chan error, 1)}
 	go func() { mem.done <- nod.Run(ctx) }()
