--- a/core/fold/fold_test.go
+++ b/core/fold/fold_test.go
@@ -248,6 +248,9 @@
 	assert.Equal(tst, len(old.Audit(0, 10)), 2)
 	_, held = sta.View().Holder("v1")
 	assert.Assert(tst, !held)
+	asg, _ = sta.View().Assignment("g1")
+	assert.Equal(tst, asg.Phase, core.PhaseRetired)
+	assert.Equal(tst, len(asg.VMs), 0)
 }
 
 // TestAudit: a line for every accepted and every rejected change.
--- /dev/null
+++ b/core/tail/parts_test.go
@@ -0,0 +1,165 @@
+package tail_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/core/fold"
+	"kumquathinge/core/recd"
+	"kumquathinge/core/tail"
+)
+
+// TestPageWithHole: a page that leaves out an entry is used up to the hole.
+func TestPageWithHole(tst *testing.T) {
+	wld := newWorld(1)
+	wld.settle()
+	one := wld.units[0]
+	wld.fill(one, 4)
+	ents := wld.lgs.Since(1)
+	fol := tail.NewFollower(tail.Config{Node: "x", Timings: testTimings})
+	fol.Step(tail.LogRead{Page: core.Page{First: 1, Next: 5, Entries: []core.Entry{ents[0], ents[2], ents[3]}}}, wld.now)
+	assert.Equal(tst, fol.State().Offset(), core.Offset(1))
+	assert.Assert(tst, !fol.Status().Ready)
+	fol.Step(tail.LogRead{Page: core.Page{First: 1, Next: 5, Entries: ents[1:]}}, wld.now)
+	assert.Equal(tst, fol.State().Offset(), core.Offset(4))
+	assert.Assert(tst, fol.Status().Ready)
+	// A log that has lost entries does not take the state back.
+	fol.Step(tail.LogRead{Page: core.Page{First: 1, Next: 2, Entries: ents[:1]}}, wld.now)
+	assert.Equal(tst, fol.State().Offset(), core.Offset(4))
+	assert.Equal(tst, fol.Status().Code, core.CodeLogGap)
+}
+
+// TestHashAlarm: any difference is an alarm; a node that most of its peers
+// contradict is not ready.
+func TestHashAlarm(tst *testing.T) {
+	wld := newWorld(1)
+	wld.settle()
+	one := wld.units[0]
+	wld.fill(one, 2)
+	hash := one.fol.State().Hash()
+	for _, cas := range []struct {
+		node  core.NodeName
+		at    core.Offset
+		hash  uint64
+		code  core.Code
+		ready bool
+	}{
+		{"a", 2, hash, core.CodeOK, true},
+		{"b", 9, hash + 1, core.CodeOK, true},
+		{"b", 2, hash + 1, core.CodeHashAlarm, true},
+		{"c", 2, hash + 1, core.CodeHashAlarm, true},
+		{"d", 2, hash + 1, core.CodeHashAlarm, false},
+		{"d", 2, hash, core.CodeHashAlarm, true},
+		{"b", 2, hash, core.CodeHashAlarm, true},
+		{"c", 2, hash, core.CodeOK, true},
+	} {
+		one.fol.Step(tail.Tick{Nodes: []core.NodeName{"n0", "a", "b", "c", "d"}}, wld.now)
+		one.fol.Step(tail.PeerHash{Node: cas.node, At: cas.at, Hash: cas.hash}, wld.now)
+		sts := one.fol.Status()
+		assert.Equal(tst, sts.Code, cas.code, "%+v", cas)
+		assert.Equal(tst, sts.Ready, cas.ready, "%+v", cas)
+	}
+}
+
+// TestSnapshotWriters counts who writes snapshots: one node at a time, and
+// another one steps in if it dies.
+func TestSnapshotWriters(tst *testing.T) {
+	wld := newWorld(3)
+	wld.settle()
+	wld.fill(wld.units[0], 12)
+	writers := func() map[string]int {
+		out := map[string]int{}
+		for _, ent := range wld.lgs.Since(1) {
+			bat, err := recd.Decode(ent.Data)
+			assert.NilError(tst, err)
+			for _, rec := range bat.Records {
+				if rec.Snapshot != nil {
+					out[rec.By]++
+				}
+			}
+		}
+		return out
+	}
+	for range 200 {
+		if len(writers()) > 0 {
+			break
+		}
+		wld.fill(wld.units[0], 1)
+	}
+	first := writers()
+	assert.Equal(tst, len(first), 1, "%v", first)
+	assert.Assert(tst, wld.ref.SnapshotAt() > 0)
+
+	// The others die and are still listed as live: the last one steps in.
+	at := wld.ref.SnapshotAt()
+	wld.units[1].dead = true
+	wld.units[2].dead = true
+	for range 2 * testTimings.SnapshotEvery {
+		wld.fill(wld.units[0], 1)
+	}
+	assert.Assert(tst, wld.ref.SnapshotAt() > at)
+}
+
+// TestBatching: proposals that come while an append is under way share the
+// next one.
+func TestBatching(tst *testing.T) {
+	wld := newWorld(1)
+	wld.settle()
+	one := wld.units[0]
+	var tics []uint64
+	for range 10 {
+		tics = append(tics, wld.propose(one, recd.Record{By: "n0", Claim: &recd.Claim{
+			Org: "o", Key: core.RequestKey(time.Duration(len(tics)).String()), Issued: wld.now, Holder: "n0",
+		}}))
+	}
+	wld.settle()
+	assert.Equal(tst, one.cli.Appends(), 2)
+	for _, tic := range tics {
+		assert.NilError(tst, wld.verdict(tst, one, tic).Err())
+	}
+}
+
+// TestBadProposals: what would spoil a batch for others never gets into one.
+func TestBadProposals(tst *testing.T) {
+	wld := newWorld(1)
+	wld.settle()
+	one := wld.units[0]
+	big := depth(1, 0)
+	big.Setting.Note = string(make([]byte, 300<<10))
+	for _, cas := range []struct {
+		name string
+		recs []recd.Record
+		want core.Code
+	}{
+		{"no records", nil, core.CodeRecordBad},
+		{"one ID twice", []recd.Record{{ID: "x"}, {ID: "x"}}, core.CodeRecordBad},
+		{"text that is not UTF-8", []recd.Record{{By: "\xff", Rule: &recd.Rule{Number: 1}}}, core.CodeRecordBad},
+		{"year that can't be written", []recd.Record{{Claim: &recd.Claim{Issued: time.Date(12026, 1, 1, 0, 0, 0, 0, time.UTC)}}}, core.CodeRecordBad},
+		{"too large", []recd.Record{big}, core.CodeTooLarge},
+	} {
+		tic := wld.propose(one, cas.recs...)
+		assert.Equal(tst, core.CodeOf(one.answers[tic].Err), cas.want, cas.name)
+	}
+	wld.settle()
+	assert.Equal(tst, wld.lgs.Next(), core.Offset(1))
+}
+
+// TestStoppedFoldAppendsNothing: a program that can't fold the log does not
+// write to it.
+func TestStoppedFoldAppendsNothing(tst *testing.T) {
+	wld := newWorld(1)
+	wld.units[0].prg = fold.Program{Version: recd.Version}
+	wld.start(wld.units[0])
+	wld.settle()
+	one := wld.units[0]
+	wld.propose(one, recd.Record{By: "ana", Rule: &recd.Rule{Number: 1}})
+	wld.settle()
+	next := wld.lgs.Next()
+	tic := wld.propose(one, depth(7, 0))
+	assert.Equal(tst, core.CodeOf(one.answers[tic].Err), core.CodeLogRefused)
+	wld.settle()
+	assert.Equal(tst, wld.lgs.Next(), next)
+}
--- a/core/tree/tree_test.go
+++ b/core/tree/tree_test.go
@@ -46,6 +46,7 @@
 		{"/", "group.size", "65", bad},
 		{"/", "group.size", `"8"`, bad},
 		{"/", "group.size", "1e999999999", bad},
+		{"/", "org.weight", "1e-999999999", bad},
 		{"/", "group.enabled", "true", ok},
 		{"/", "group.enabled", "1", bad},
 		{"/", "probe.bound", `"1s"`, ok},
