--- a/core/fold/encode.go
+++ b/core/fold/encode.go
@@ -73,21 +73,57 @@
 	return out
 }
 
+// Image is a copy of a State that can be encoded while the state changes. Its
+// methods may be called from several goroutines.
+type Image struct {
+	img    image
+	tre    *tree.Tree
+	claims []*Claim
+}
+
+// Image returns a copy of the state. It copies references only: what the state
+// stores is never written again.
+func (sta *State) Image() *Image {
+	img := &Image{
+		img: image{
+			Format: formatVersion, Hash: sta.Hash(), Offset: sta.offset, Now: sta.now, Horizon: sta.horizon,
+			Rules: sta.rules.Sorted(), Groups: sta.Assignments(), Holds: sta.Holds(),
+			Audit: slices.Clip(sta.audit), Snaps: cloneProgress(sta.snaps), SnapAt: sta.snapAt,
+		},
+		tre:    sta.tre,
+		claims: slices.AppendSeq(make([]*Claim, 0, len(sta.claims)), maps.Values(sta.claims)),
+	}
+	for _, id := range sta.queue {
+		img.img.Done = append(img.img.Done, sta.done[id])
+	}
+	return img
+}
+
+// Offset returns the offset of the state that was copied.
+func (img *Image) Offset() core.Offset { return img.img.Offset }
+
 // Encode returns the encoded state. Equal states that one program version
 // folded have equal encodings.
-func (sta *State) Encode() []byte {
-	img := image{
-		Format: formatVersion, Hash: sta.Hash(), Offset: sta.offset, Now: sta.now, Horizon: sta.horizon,
-		Rules: sta.rules.Sorted(), Groups: sta.Assignments(), Holds: sta.Holds(),
-		Claims: sta.sortedClaims(), Audit: sta.audit, Snaps: sta.snaps, SnapAt: sta.snapAt,
-	}
-	for _, pth := range sta.tre.Paths() {
-		img.Nodes = append(img.Nodes, imageOf(sta.tre, pth))
+func (img *Image) Encode() []byte {
+	out := img.img
+	for _, pth := range img.tre.Paths() {
+		out.Nodes = append(out.Nodes, imageOf(img.tre, pth))
 	}
-	for _, id := range sta.queue {
-		img.Done = append(img.Done, sta.done[id])
+	out.Claims = slices.SortedFunc(slices.Values(img.claims), func(one, two *Claim) int {
+		return cmp.Or(cmp.Compare(one.Org, two.Org), cmp.Compare(one.Key, two.Key))
+	})
+	return encode(out)
+}
+
+// Encode returns the encoded state, as Image and its Encode do.
+func (sta *State) Encode() []byte { return sta.Image().Encode() }
+
+func cloneProgress(pros []snapProgress) []snapProgress {
+	out := slices.Clone(pros)
+	for idx := range out {
+		out[idx].Seen = slices.Clone(out[idx].Seen)
 	}
-	return encode(img)
+	return out
 }
 
 func imageOf(tre *tree.Tree, pth tree.Path) imageNode {
@@ -98,14 +134,6 @@
 	return nod
 }
 
-func (sta *State) sortedClaims() []*Claim {
-	out := slices.Collect(maps.Values(sta.claims))
-	slices.SortFunc(out, func(one, two *Claim) int {
-		return cmp.Or(cmp.Compare(one.Org, two.Org), cmp.Compare(one.Key, two.Key))
-	})
-	return out
-}
-
 // Decode returns the state that Encode encoded. Its error carries
 // core.CodeSnapshotBad if data is damaged or needs a newer program.
 func Decode(data []byte) (*State, error) { return DecodeFor(Newest, data) }
--- a/core/fold/hash.go
+++ b/core/fold/hash.go
@@ -17,6 +17,10 @@
 	itemRule  = "rule"
 )
 
+// verdictHashBytes holds the hashed form of a verdict with an ID of usual
+// length.
+const verdictHashBytes = 128
+
 // Hash returns a hash of the state. It is kept up to date by every change: the
 // state is a set of items, and the hash covers the sum of the items' hashes
 // (Bellare and Micciancio, "A New Paradigm for Collision-Free Hashing:
@@ -42,9 +46,12 @@
 }
 
 func (ver Verdict) hash() uint64 {
-	dig := xxhash.New()
-	_, _ = fmt.Fprintf(dig, "verdict %s %d %d", ver.Record, ver.Code, ver.Offset)
-	return dig.Sum64()
+	var arr [verdictHashBytes]byte
+	buf := append(arr[:0], "verdict "...)
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(ver.Offset))
+	buf = binary.LittleEndian.AppendUint16(buf, uint16(ver.Code))
+	buf = append(buf, ver.Record...)
+	return xxhash.Sum64(buf)
 }
 
 // nodeHash returns the hash of a node of the settings, zero if it has none.
--- a/core/fold/settings.go
+++ b/core/fold/settings.go
@@ -1,6 +1,8 @@
 package fold
 
 import (
+	"slices"
+
 	"kumquathinge/core"
 	"kumquathinge/core/recd"
 	"kumquathinge/core/tree"
@@ -36,11 +38,11 @@
 
 // changer returns who made the accepted change of the node at the offset.
 func (sta *State) changer(pth tree.Path, at core.Offset) string {
-	for _, lin := range sta.Audit(at-1, auditLimit) {
-		if lin.Offset != at {
+	for _, lin := range slices.Backward(sta.audit) {
+		if lin.Offset < at {
 			break
 		}
-		if lin.Code == core.CodeOK && lin.Kind == KindSetting && lin.Subject == string(pth) {
+		if lin.Offset == at && lin.Code == core.CodeOK && lin.Kind == KindSetting && lin.Subject == string(pth) {
 			return lin.By
 		}
 	}
--- a/core/tail/append.go
+++ b/core/tail/append.go
@@ -25,11 +25,23 @@
 		return
 	}
 	prs.busy = bat
-	prs.nextAt = fol.now.Add(fol.cfg.Timings.AppendEvery)
+	prs.nextAt = fol.now.Add(fol.appendEvery())
 	bat.tries++
 	fol.do(Append{Batch: bat.id, Data: bat.data})
 }
 
+// appendEvery returns the least time between two appends of this node: its
+// even share of the budget, since any node may have as much to append as any
+// other.
+func (fol *Follower) appendEvery() time.Duration {
+	tim := fol.cfg.Timings
+	if tim.AppendBudget <= 0 {
+		return tim.AppendEvery
+	}
+	share := float64(len(fol.tick.Nodes)) / tim.AppendBudget
+	return max(tim.AppendEvery, time.Duration(share*float64(time.Second)))
+}
+
 // due returns a batch that is to be appended again.
 func (prs *proposer) due(now time.Time) *batch {
 	for _, bat := range prs.batches {
--- a/core/tail/event.go
+++ b/core/tail/event.go
@@ -66,6 +66,13 @@
 	Hash uint64
 }
 
+// Encoded answers Encode.
+type Encoded struct {
+	At   core.Offset
+	Data []byte
+}
+
+func (Encoded) event()   {}
 func (Tick) event()      {}
 func (LogRead) event()   {}
 func (PeerRead) event()  {}
@@ -104,6 +111,12 @@
 	Data  []byte
 }
 
+// Encode asks for an image to be encoded, which takes time and may be done by
+// another goroutine. At most one is outstanding.
+type Encode struct {
+	Image *fold.Image
+}
+
 // Answer is the end of a proposal: the verdicts in the order of its records,
 // or an error with core.CodeLogRefused, core.CodeLogUnknown or
 // core.CodeRecordBad.
@@ -116,6 +129,7 @@
 // Publish tells that the state or the status has changed.
 type Publish struct{}
 
+func (Encode) action()   {}
 func (ReadLog) action()  {}
 func (ReadPeer) action() {}
 func (AskState) action() {}
--- a/core/tail/follow.go
+++ b/core/tail/follow.go
@@ -22,8 +22,11 @@
 	// RetryMin and RetryMax bound the time before a failed call is made again.
 	RetryMin time.Duration
 	RetryMax time.Duration
-	// AppendEvery is the least time between two appends.
+	// AppendEvery is the least time between two appends of this node.
 	AppendEvery time.Duration
+	// AppendBudget is the number of appends per second that all live entry
+	// VMs together may make. Zero stands for no bound.
+	AppendBudget float64
 	// SnapshotEvery is the number of entries after which a snapshot is due at
 	// the latest, SnapshotMin the least number between two.
 	SnapshotEvery core.Offset
@@ -47,6 +50,7 @@
 		RetryMin:      100 * time.Millisecond,
 		RetryMax:      2 * time.Second,
 		AppendEvery:   10 * time.Millisecond,
+		AppendBudget:  300,
 		SnapshotEvery: 20_000,
 		SnapshotMin:   200,
 		SnapshotStep:  5 * time.Second,
@@ -121,6 +125,8 @@
 		fol.appended(typ)
 	case Proposed:
 		fol.proposed(typ)
+	case Encoded:
+		fol.encoded(typ)
 	case GivenUp:
 		fol.givenUp(typ)
 	case PeerHash:
--- a/core/tail/parts_test.go
+++ b/core/tail/parts_test.go
@@ -163,3 +163,30 @@
 	wld.settle()
 	assert.Equal(tst, wld.lgs.Next(), next)
 }
+
+// TestAppendBudget: however many entry VMs are live, all of them together stay
+// within the budget.
+func TestAppendBudget(tst *testing.T) {
+	for _, num := range []int{1, 4, 340} {
+		tim := testTimings
+		tim.AppendBudget = 300
+		fol := tail.NewFollower(tail.Config{Node: "n", Timings: tim})
+		nodes := make([]core.NodeName, num)
+		now := time.Unix(1_800_000_000, 0)
+		appends := 0
+		for tic := range 10_000 {
+			now = now.Add(time.Millisecond)
+			rec := recd.Record{ID: core.RecordID(time.Duration(tic).String()), Rule: &recd.Rule{Number: 1}}
+			acts := fol.Step(tail.Tick{Nodes: nodes}, now)
+			acts = append(acts, fol.Step(tail.Proposed{Ticket: uint64(tic), Records: []recd.Record{rec}}, now)...)
+			for _, act := range acts {
+				if app, ok := act.(tail.Append); ok {
+					appends++
+					fol.Step(tail.Appended{Batch: app.Batch, Offset: 1}, now)
+				}
+			}
+		}
+		assert.Assert(tst, appends*num <= 300*10+num, "%d nodes: %d appends each in 10 s", num, appends)
+		assert.Assert(tst, appends > 0)
+	}
+}
--- a/core/tail/snapshot.go
+++ b/core/tail/snapshot.go
@@ -16,6 +16,7 @@
 type snapshotter struct {
 	since  time.Time
 	rest   time.Time
+	busy   bool
 	chunks []*batch
 	at     core.Offset
 }
@@ -40,6 +41,9 @@
 		snp.abandon(fol.sta.SnapshotAt())
 		return
 	}
+	if snp.busy {
+		return
+	}
 	if !fol.snapshotDue() {
 		snp.since = time.Time{}
 		return
@@ -55,19 +59,26 @@
 		return
 	}
 	snp.since = time.Time{}
-	snp.at = fol.sta.Offset()
-	for _, chk := range Chunks(fol.sta, fol.cfg.Timings.ChunkBytes) {
-		snp.chunks = append(snp.chunks, fol.chunkBatch(chk))
+	snp.busy = true
+	fol.do(Encode{Image: fol.sta.Image()})
+}
+
+// encoded starts the writing of the snapshot.
+func (fol *Follower) encoded(evt Encoded) {
+	fol.snaps.busy = false
+	fol.snaps.at = evt.At
+	for _, chk := range Chunks(evt.At, evt.Data, fol.cfg.Timings.ChunkBytes) {
+		fol.snaps.chunks = append(fol.snaps.chunks, fol.chunkBatch(chk))
 	}
 }
 
-// Chunks returns the encoded state in chunks of at most size bytes.
-func Chunks(sta *fold.State, size int) []recd.Snapshot {
-	data := sta.Encode()
+// Chunks returns the encoded state at an offset in chunks of at most size
+// bytes.
+func Chunks(at core.Offset, data []byte, size int) []recd.Snapshot {
 	sum := xxhash.Sum64(data)
 	var out []recd.Snapshot
 	for part := range slices.Chunk(data, size) {
-		out = append(out, recd.Snapshot{At: sta.Offset(), Hash: sum, Part: len(out), Data: part})
+		out = append(out, recd.Snapshot{At: at, Hash: sum, Part: len(out), Data: part})
 	}
 	for idx := range out {
 		out[idx].Parts = len(out)
--- a/core/tail/tail_test.go
+++ b/core/tail/tail_test.go
@@ -197,7 +197,7 @@
 		one, far := wld.units[0], wld.units[2]
 		far.dead = true
 		wld.fill(one, 2)
-		chk := tail.Chunks(one.fol.State(), 100)
+		chk := tail.Chunks(one.fol.State().Offset(), one.fol.State().Encode(), 100)
 		assert.Assert(tst, len(chk) > 1)
 		for idx := range chk[1:] {
 			wld.propose(one, recd.Record{By: "n0", Snapshot: &chk[idx]})
--- a/core/tail/world_test.go
+++ b/core/tail/world_test.go
@@ -139,6 +139,8 @@
 			evt.Data = per.fol.State().Encode()
 		}
 		wld.feed(uni, evt)
+	case tail.Encode:
+		wld.feed(uni, tail.Encoded{At: typ.Image.Offset(), Data: typ.Image.Encode()})
 	case tail.Append:
 		off, err := uni.cli.Append(ctxBack, typ.Batch, typ.Data)
 		if lost {
--- a/store/store.go
+++ b/store/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,11 @@
 	status  atomic.Pointer[Status]
 	changed atomic.Pointer[chan struct{}]
 	ticket  atomic.Uint64
+
+	// stateMut guards the state that was encoded last for peers.
+	stateMut sync.Mutex
+	state    []byte
+	stateAt  core.Offset
 }
 
 // New returns a Store that starts at the log's beginning. It panics if the
@@ -115,6 +121,7 @@
 	grp.Go(func() error { return tsk.readLogs(sub) })
 	grp.Go(func() error { return tsk.askPeers(sub) })
 	grp.Go(func() error { return tsk.appendBatches(sub) })
+	grp.Go(func() error { return tsk.encodeImages(sub) })
 	err := grp.Wait()
 	if ctx.Err() != nil {
 		return nil
@@ -198,11 +205,34 @@
 // State returns the encoded state, which may be a little older than the view.
 // Its error carries core.CodeNotReady if this node has none.
 func (str *Store) State() ([]byte, error) {
-	data, ok, err := ask2(context.Background(), str, func(tsk *task) ([]byte, bool) { return tsk.encoded() })
-	if err == nil && !ok {
-		err = core.Errorf(core.CodeNotReady, "node %s has no state yet", str.cfg.Node)
+	str.stateMut.Lock()
+	defer str.stateMut.Unlock()
+	off := str.View().Offset()
+	if str.state != nil && off <= str.stateAt+stateReuse {
+		return str.state, nil
+	}
+	img, _, err := ask2(context.Background(), str, func(tsk *task) (*fold.Image, bool) { return tsk.image(), true })
+	if err != nil {
+		return nil, err
+	}
+	if img == nil {
+		return nil, core.Errorf(core.CodeNotReady, "node %s has no state yet", str.cfg.Node)
+	}
+	str.state = img.Encode()
+	str.stateAt = img.Offset()
+	return str.state, nil
+}
+
+// dropState forgets the state encoded for peers once it is too old to be given
+// away again.
+func (str *Store) dropState() {
+	if !str.stateMut.TryLock() {
+		return
+	}
+	defer str.stateMut.Unlock()
+	if str.View().Offset() > str.stateAt+stateReuse {
+		str.state = nil
 	}
-	return data, err
 }
 
 // Check holds the hash of a peer's state at an offset against the own one. A
--- a/store/task.go
+++ b/store/task.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kumquathinge/core"
+	"kumquathinge/core/fold"
 	"kumquathinge/core/tail"
 )
 
@@ -66,8 +67,7 @@
 	peers   []core.Peer
 	peersAt time.Time
 	nodes   []core.NodeName
-	image   []byte
-	imageAt core.Offset
+	images  chan *fold.Image
 }
 
 func newTask(str *Store) *task {
@@ -79,6 +79,7 @@
 		reads:   make(chan tail.ReadLog, 1),
 		asks:    make(chan peerCall, 1),
 		appends: make(chan tail.Append, 1),
+		images:  make(chan *fold.Image, 1),
 		answers: map[uint64]chan tail.Answer{},
 	}
 }
@@ -106,6 +107,7 @@
 		tsk.peersAt = now
 		tsk.peers = tsk.str.cfg.Peers()
 		tsk.nodes = tsk.str.cfg.Nodes()
+		tsk.str.dropState()
 	}
 	tsk.step(tail.Tick{Peers: len(tsk.peers), Nodes: tsk.nodes})
 }
@@ -140,6 +142,8 @@
 		tsk.asks <- peerCall{peer: tsk.peers[typ.Peer%len(tsk.peers)], act: typ}
 	case tail.Append:
 		tsk.appends <- typ
+	case tail.Encode:
+		tsk.images <- typ.Image
 	case tail.Answer:
 		tsk.answers[typ.Ticket] <- typ
 		delete(tsk.answers, typ.Ticket)
@@ -176,18 +180,27 @@
 	close(*old)
 }
 
-// encoded returns the encoded state, or a slightly older one that was made
-// before, and false if this node has no state to give.
-func (tsk *task) encoded() ([]byte, bool) {
+// image returns a copy of the state, nil if this node has none to give.
+func (tsk *task) image() *fold.Image {
 	if !tsk.fol.Status().Ready {
-		return nil, false
+		return nil
 	}
-	off := tsk.fol.State().Offset()
-	if tsk.image == nil || off > tsk.imageAt+stateReuse {
-		tsk.image = tsk.fol.State().Encode()
-		tsk.imageAt = off
+	return tsk.fol.State().Image()
+}
+
+// encodeImages encodes images beside the task.
+func (tsk *task) encodeImages(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case img := <-tsk.images:
+			err := tsk.report(ctx, tail.Encoded{At: img.Offset(), Data: img.Encode()})
+			if err != nil {
+				return err
+			}
+		}
 	}
-	return tsk.image, true
 }
 
 // report hands the answer to a call back to the task.
