--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -221,8 +221,8 @@
 			asg, _ := sta.Assignment(core.GroupName(fmt.Sprintf("alerts-70b-%03d", num%600)))
 			return retire(asg.Group, asg.Order)
 		}},
-		{"after unload and assign", func(sta *fold.State, num int) recd.Record {
-			return assign("spare", 0, core.VMName(fmt.Sprintf("spare-%d", num)))
+		{"after assign", func(_ *fold.State, num int) recd.Record {
+			return assign(core.GroupName(fmt.Sprint("spare-", num)), 0, core.VMName(fmt.Sprint("spare-", num)))
 		}},
 	} {
 		ben.Run(cas.name, func(ben *testing.B) {
@@ -233,7 +233,10 @@
 				if num == 600 {
 					sta, num = fill(sizes[len(sizes)-1]), 0
 				}
-				sta.Apply(entry(sta.Offset()+1, start.Add(time.Duration(num)), cas.rec(sta, num)))
+				ver := sta.Apply(entry(sta.Offset()+1, start.Add(time.Duration(num)), cas.rec(sta, num)))[0]
+				if !ver.Accepted() {
+					ben.Fatal(ver.Err())
+				}
 				num++
 				ben.StartTimer()
 				sta.View()
--- a/core/tail/follow.go
+++ b/core/tail/follow.go
@@ -27,8 +27,9 @@
 	// AppendBudget is the number of appends per second that all live entry
 	// VMs together may make. Zero stands for no bound.
 	AppendBudget float64
-	// SnapshotEvery is the number of entries after which a snapshot is due at
-	// the latest, SnapshotMin the least number between two.
+	// SnapshotEvery is the number of entries after which a snapshot is due if
+	// they have as many bytes as the last one, SnapshotMin the least number
+	// between two.
 	SnapshotEvery core.Offset
 	SnapshotMin   core.Offset
 	// SnapshotStep is the time by which the next entry VM in rank waits longer
@@ -208,6 +209,7 @@
 			return
 		}
 		fol.recent.add(ent)
+		fol.snaps.count(len(ent.Data), vers, fol.sta.SnapshotAt())
 		fol.hashes.note(ent.Offset, fol.sta.Hash())
 		fol.settle(vers)
 		fol.do(Publish{})
--- a/core/tail/parts_test.go
+++ b/core/tail/parts_test.go
@@ -93,13 +93,17 @@
 	assert.Equal(tst, len(first), 1, "%v", first)
 	assert.Assert(tst, wld.ref.SnapshotAt() > 0)
 
-	// The others die and are still listed as live: the last one steps in.
+	// Entries with fewer bytes than the snapshot are no reason for another.
 	at := wld.ref.SnapshotAt()
+	wld.fill(wld.units[0], int(testTimings.SnapshotEvery)+1)
+	assert.Equal(tst, wld.ref.SnapshotAt(), at)
+
+	// The log is about to drop the snapshot. The others died and are still
+	// listed as live: the last one steps in.
 	wld.units[1].dead = true
 	wld.units[2].dead = true
-	for range 2 * testTimings.SnapshotEvery {
-		wld.fill(wld.units[0], 1)
-	}
+	wld.lgs.Trim(at)
+	wld.settle()
 	assert.Assert(tst, wld.ref.SnapshotAt() > at)
 }
 
--- a/core/tail/snapshot.go
+++ b/core/tail/snapshot.go
@@ -17,19 +17,25 @@
 	since  time.Time
 	rest   time.Time
 	busy   bool
+	whole  core.Offset
+	chunk  int
+	other  int
+	size   int
 	chunks []*batch
 	at     core.Offset
 }
 
-// snapshotDue reports whether the log needs a newer snapshot: after so many
-// entries, or when the last one is in the older half of what the log keeps.
+// snapshotDue reports whether the log needs a newer snapshot: when the last
+// one is in the older half of what the log keeps, or after so many entries
+// with as many bytes as the last one, so that snapshots at most double what
+// every reader reads.
 func (fol *Follower) snapshotDue() bool {
 	tim := fol.cfg.Timings
 	off, last := fol.sta.Offset(), fol.sta.SnapshotAt()
 	if off < last+tim.SnapshotMin || !fol.log.ok || !fol.ready || fol.gap != 0 || off+1 < fol.log.next {
 		return false
 	}
-	if off >= last+tim.SnapshotEvery {
+	if off >= last+tim.SnapshotEvery && fol.snaps.other >= fol.snaps.size {
 		return true
 	}
 	return fol.log.first > 1 && last < fol.log.first+(off-fol.log.first)/2
@@ -114,6 +120,23 @@
 	return xxhash.Sum64(append(buf, nod...))
 }
 
+// count adds up the bytes of the log since the last whole snapshot, those of
+// snapshots apart.
+func (snp *snapshotter) count(size int, vers []fold.Verdict, whole core.Offset) {
+	isChunk := len(vers) > 0 && vers[0].Kind == fold.KindSnapshot
+	if isChunk {
+		snp.chunk += size
+	} else {
+		snp.other += size
+	}
+	if whole > snp.whole {
+		snp.whole = whole
+		snp.size = snp.chunk
+		snp.chunk = 0
+		snp.other = 0
+	}
+}
+
 // snapshotSeen starts the wait anew when a chunk of a snapshot appears: its
 // writer is at work.
 func (fol *Follower) snapshotSeen(ver fold.Verdict) {
