--- /dev/null
+++ b/io/plain/plain_test.go
@@ -0,0 +1,75 @@
+package plain_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/core/plnts"
+	"kumquathinge/io/plain"
+	"kumquathinge/io/wire"
+	"kumquathinge/stand"
+)
+
+var faults = map[plnts.Fault]stand.PlainFault{
+	plnts.FaultNone:      {},
+	plnts.FaultDown:      {Fault: stand.Fault{Down: true}},
+	plnts.FaultRefuse:    {Fault: stand.Fault{Refuse: true}},
+	plnts.FaultFreeze:    {Fault: stand.Fault{Freeze: true}},
+	plnts.FaultSilentOld: {Fault: stand.Fault{SilentOld: true}},
+	plnts.FaultCrossed:   {WrongAttempt: true},
+	plnts.FaultShort:     {ShortBody: true},
+	plnts.FaultLost:      {Fault: stand.Fault{LoseAnswers: 1}},
+}
+
+func TestConformance(t *testing.T) {
+	plnts.Test(t, func(t *testing.T) plnts.Fixture {
+		sta := stand.NewPlain("svc-1")
+		assert.NilError(t, sta.Start("127.0.0.1:0"))
+		svc := plain.New(sta.Addr(), plain.Config{Wire: wire.Config{Silence: 100 * time.Millisecond}})
+		t.Cleanup(func() {
+			svc.Close()
+			_ = sta.Close()
+		})
+		return plnts.Fixture{
+			Plain: svc,
+			Set:   func(flt plnts.Fault) { sta.SetFault(faults[flt]) },
+			Ran:   func(id core.AttemptID) int { return sta.Count().ByAttempt[string(id)] },
+		}
+	})
+}
+
+// TestReplyWithoutLength sends a reply whose length is not stated, and
+// refusals with and without the attempt.
+func TestReplyWithoutLength(t *testing.T) {
+	tests := map[string]core.Code{
+		"/chunked": core.CodeCutAnswer,
+		"/refused": core.CodeRefused,
+		"/crossed": core.CodeCrossedAnswer,
+		"/busy":    core.CodeOK,
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		wri.Header().Set("X-Attempt-Id", req.Header.Get("X-Attempt-Id"))
+		switch req.URL.Path {
+		case "/chunked":
+			_ = http.NewResponseController(wri).Flush()
+			return
+		case "/refused":
+			wri.Header().Set("X-Refused", "1")
+		case "/crossed":
+			wri.Header().Set("X-Refused", "1")
+			wri.Header().Set("X-Attempt-Id", "another")
+		}
+		wri.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	svc := plain.New(srv.Listener.Addr().String(), plain.Config{})
+	for path, want := range tests {
+		_, err := svc.Call(t.Context(), core.Call{Attempt: "a", Method: http.MethodGet, Path: path})
+		assert.Equal(t, core.CodeOf(err), want, path)
+	}
+}
