--- a/core/repair/ctrl.go
+++ b/core/repair/ctrl.go
@@ -18,10 +18,11 @@
 
 // Config holds what a Controller needs of its node. ID returns a record ID
 // that no record had before, on this node or another. By is written into the
-// records.
+// records. Policy is Weighted if nil.
 type Config struct {
-	ID func() core.RecordID
-	By string
+	ID     func() core.RecordID
+	By     string
+	Policy Policy
 }
 
 // Controller is the repair policy of one zone at one node. It is not safe for
@@ -31,20 +32,10 @@
 	vms      map[core.VMName]*track
 	grps     map[core.GroupName]*groupTrack
 	proposed map[core.GroupName]proposal
+	past     *history
 	budget   budget
 }
 
-// track is what a Controller remembers of a VM. Idle is the instant since
-// which every probe showed it empty; gone the one since which none answered.
-type track struct {
-	idle    time.Time
-	gone    time.Time
-	inc     core.Incarnation
-	ordered time.Time
-	number  core.Offset
-	action  core.Action
-}
-
 // groupTrack is the instant at which a phase of an assignment was first seen.
 type groupTrack struct {
 	order core.Offset
@@ -52,12 +43,18 @@
 	seen  time.Time
 }
 
+// premise is what a proposal for a group was made from.
+type premise struct {
+	order core.Offset
+	phase core.Phase
+	holds int
+}
+
 // proposal is a record that was proposed and has had no effect so far.
 type proposal struct {
-	base  core.Offset
-	phase core.Phase
-	at    time.Time
-	vms   []core.VMName
+	from premise
+	at   time.Time
+	vms  []core.VMName
 }
 
 // New returns a Controller that has seen nothing. It panics if cfg.ID is nil.
@@ -65,11 +62,15 @@
 	if cfg.ID == nil {
 		panic("repair: no record IDs")
 	}
+	if cfg.Policy == nil {
+		cfg.Policy = Weighted{}
+	}
 	return &Controller{
 		cfg:      cfg,
 		vms:      make(map[core.VMName]*track),
 		grps:     make(map[core.GroupName]*groupTrack),
 		proposed: make(map[core.GroupName]proposal),
+		past:     newHistory(),
 	}
 }
 
@@ -78,11 +79,11 @@
 // takes over knows since when members are missing. A node that is not the
 // proposer gets no actions.
 func (ctl *Controller) Step(in Input) []Action {
-	ctl.observe(&in)
+	vew := newView(&in)
+	ctl.observe(vew)
 	if !in.Proposer {
 		return nil
 	}
-	vew := newView(&in)
 	out := ctl.orders(vew)
 	if in.LogOK {
 		out = append(out, ctl.proposals(vew)...)
@@ -90,14 +91,15 @@
 	return out
 }
 
-func (ctl *Controller) observe(in *Input) {
+func (ctl *Controller) observe(vew *view) {
+	in := vew.in
 	for vmn, sgt := range in.Sights {
 		trk, ok := ctl.vms[vmn]
 		if !ok {
 			trk = &track{}
 			ctl.vms[vmn] = trk
 		}
-		trk.observe(sgt, in.Now, in.Weights.Bound)
+		trk.observe(sgt, in.Now, in.Weights.Bound, ctl.past)
 	}
 	for vmn := range ctl.vms {
 		if _, ok := in.Sights[vmn]; !ok {
@@ -108,7 +110,7 @@
 		ctl.observeGroup(asn, in.Now)
 	}
 	for grp, pro := range ctl.proposed {
-		if in.Now.Sub(pro.at) >= proposeRetry {
+		if pro.from != vew.premise(grp) || in.Now.Sub(pro.at) >= proposeRetry {
 			delete(ctl.proposed, grp)
 		}
 	}
@@ -119,20 +121,26 @@
 	if !ok || trk.order != asn.Order || trk.phase != asn.Phase {
 		ctl.grps[asn.Group] = &groupTrack{order: asn.Order, phase: asn.Phase, seen: now}
 	}
-	pro, ok := ctl.proposed[asn.Group]
-	if ok && (pro.base != asn.Order || pro.phase != asn.Phase) {
-		delete(ctl.proposed, asn.Group)
-	}
 }
 
 // propose returns the action for rec unless one for the group is under way.
+// Vms are those that no other proposal may use meanwhile.
 func (ctl *Controller) propose(vew *view, grp core.GroupName, rec recd.Record, vms []core.VMName) []Action {
 	if _, ok := ctl.proposed[grp]; ok {
 		return nil
 	}
-	asn := vew.asns[grp]
-	ctl.proposed[grp] = proposal{base: asn.Order, phase: asn.Phase, at: vew.in.Now, vms: vms}
+	ctl.proposed[grp] = proposal{from: vew.premise(grp), at: vew.in.Now, vms: vms}
 	rec.ID = ctl.cfg.ID()
 	rec.By = ctl.cfg.By
 	return []Action{Propose{Record: rec}}
 }
+
+// seen returns the instant at which the phase of the assignment was first
+// seen.
+func (ctl *Controller) seen(asn core.Assignment) time.Time {
+	trk, ok := ctl.grps[asn.Group]
+	if !ok {
+		return time.Time{}
+	}
+	return trk.seen
+}
--- a/core/repair/input.go
+++ b/core/repair/input.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kumquathinge/core"
+	"kumquathinge/core/fold"
 	"kumquathinge/core/gate"
 	"kumquathinge/core/order"
 	"kumquathinge/core/recd"
@@ -23,8 +24,8 @@
 
 // Weights are the settings of the repair policy. Downtime and Stranded weigh a
 // second in which a group can't serve against a second in which one healthy VM
-// is idle because its group is incomplete. ReturnWait is the longest time to
-// wait for a missing member that could be replaced. Spares is the number of
+// is idle because its group is incomplete. ReturnWait is the time after which a
+// missing member is taken to be lost unless experience says otherwise. Spares is the number of
 // free VMs to leave in a domain where there is a choice. LoadsPerMinute is the
 // zone's share of the weight store's rate. Lease is the order lease and Bound
 // the dispatch bound.
@@ -41,6 +42,8 @@
 // Input is what a node knows at Now. Confirmed is the instant before the last
 // check that showed the view to be current, by the log or by all peers of the
 // zone. ZoneAgrees states that all peers of the zone have the same state.
+// Holds are the holds of the folded state; if nil, each assignment is taken to
+// hold its VMs.
 // Fencing names the VMs whose engines refuse old order numbers. Leaving and
 // Draining name the VMs that are to be given up. InFlight counts the requests
 // in progress on a group over all nodes of the zone.
@@ -52,6 +55,7 @@
 	ZoneAgrees  bool
 	Confirmed   time.Time
 	Assignments []core.Assignment
+	Holds       []fold.Hold
 	Wanted      []Wanted
 	VMs         []core.VM
 	Sights      map[core.VMName]gate.Sight
--- a/core/repair/orders.go
+++ b/core/repair/orders.go
@@ -12,73 +12,67 @@
 // the order of their queue, as far as the weight store's rate allows.
 func (ctl *Controller) orders(vew *view) []Action {
 	var out []Action
-	for _, asn := range vew.live {
-		if asn.Phase == core.PhaseRetired {
-			out = append(out, ctl.unloads(vew, asn)...)
-		}
+	for _, vmx := range vew.engines {
+		out = append(out, ctl.unload(vew, vmx.Name)...)
 	}
-	out = append(out, ctl.strays(vew)...)
 	return append(out, ctl.loads(vew)...)
 }
 
-// unloads orders the members of a retired assignment to unload once no request
-// is in progress on it.
-func (ctl *Controller) unloads(vew *view, asn core.Assignment) []Action {
-	if vew.in.InFlight[asn.Group] > 0 {
+// unload orders a VM to unload what it holds of an assignment that serves no
+// more. The order has the number that the VM reports: it undoes just that
+// load.
+func (ctl *Controller) unload(vew *view, vmn core.VMName) []Action {
+	prb := vew.in.Sights[vmn].Probe
+	if !vew.fresh(vmn) || prb.State == core.EngineEmpty {
 		return nil
 	}
-	var out []Action
-	for rnk, vmn := range asn.VMs {
-		if !vew.fresh(vmn) || vew.in.Sights[vmn].Probe.State == core.EngineEmpty {
-			continue
-		}
-		ord := orderOf(asn, rnk, core.ActionUnload)
-		out = append(out, ctl.send(vew, vmn, ord, asn)...)
+	hld, held := vew.holds[vmn]
+	asn := vew.asns[hld.Group]
+	if !held {
+		asn = vew.asns[prb.Group]
 	}
-	return out
-}
-
-// strays orders VMs that no group holds, and that hold something, to unload.
-// The order has the number that the VM reports: it undoes just that load.
-func (ctl *Controller) strays(vew *view) []Action {
-	if !vew.in.LogOK {
+	if held && asn.Order == hld.Order && asn.Phase == core.PhaseAssigned {
 		return nil
 	}
-	var out []Action
-	for _, vmx := range vew.engines {
-		prb := vew.in.Sights[vmx.Name].Probe
-		if _, held := vew.holder[vmx.Name]; held || !vew.fresh(vmx.Name) || prb.State == core.EngineEmpty {
-			continue
-		}
-		ord := core.Order{Number: prb.Order, Action: core.ActionUnload, Group: prb.Group, Spec: prb.Spec}
-		out = append(out, ctl.send(vew, vmx.Name, ord, vew.asns[prb.Group])...)
+	if !held && !vew.in.LogOK {
+		return nil
 	}
-	return out
+	if asn.Order == prb.Order && asn.Phase == core.PhaseRetired && ctl.draining(vew, asn) {
+		return nil
+	}
+	ord := core.Order{Number: max(prb.Order, hld.Order), Action: core.ActionUnload, Group: prb.Group, Spec: prb.Spec}
+	return ctl.send(vew, vmn, ord, asn)
+}
+
+// draining reports whether requests may still run on a retired assignment: the
+// nodes have had less than the dispatch bound to learn of the retirement, or
+// some count requests in progress. One whose members are missing or that can't
+// have served has nothing to drain.
+func (ctl *Controller) draining(vew *view, asn core.Assignment) bool {
+	if len(asn.VMs) == 0 || !vew.ready(asn) {
+		return false
+	}
+	return vew.in.InFlight[asn.Group] > 0 || vew.in.Now.Sub(ctl.seen(asn)) < vew.in.Weights.Bound
 }
 
 // queued is a group with members that need a load order.
 type queued struct {
-	asn   core.Assignment
-	ranks []int
-	gain  float64
+	asn     core.Assignment
+	ranks   []int
+	urgency float64
 }
 
-// loads orders members to load that do not hold their group's assignment. The
-// queue follows Smith's rule (Various Optimizers for Single-Stage Production,
-// 1956): the group with the greatest weight per load comes first, so that the
-// weighted sum of completion times is least.
+// loads orders members to load that do not hold their group's assignment, in
+// the order of the policy.
 func (ctl *Controller) loads(vew *view) []Action {
 	var que []queued
 	for _, asn := range vew.live {
-		if asn.Phase != core.PhaseAssigned {
-			continue
-		}
 		if itm := ctl.queue(vew, asn); len(itm.ranks) > 0 {
 			que = append(que, itm)
 		}
 	}
 	slices.SortFunc(que, func(aqu, bqu queued) int {
-		return cmp.Or(cmp.Compare(bqu.gain, aqu.gain), cmp.Compare(aqu.asn.Group, bqu.asn.Group))
+		return cmp.Or(cmp.Compare(bqu.urgency, aqu.urgency), cmp.Compare(aqu.asn.Group, bqu.asn.Group))
 	})
 	var out []Action
 	for _, itm := range que {
@@ -101,22 +95,26 @@
 			itm.ranks = append(itm.ranks, rnk)
 		}
 	}
-	itm.gain = vew.value(asn, missing) / float64(max(1, len(itm.ranks)))
+	itm.urgency = ctl.cfg.Policy.Urgency(Pending{
+		Size:    len(asn.VMs),
+		Loads:   len(itm.ranks),
+		Missing: missing,
+		Waited:  vew.in.Now.Sub(ctl.seen(asn)),
+		Weights: vew.in.Weights,
+	})
 	return itm
 }
 
-// value is the weighted cost per second while the assignment is incomplete. A
-// group that lacks a member gains nothing from a load.
-func (vew *view) value(asn core.Assignment, missing int) float64 {
-	if missing > 0 {
-		return 0
-	}
-	return vew.in.Weights.Downtime + vew.in.Weights.Stranded*float64(len(asn.VMs))
-}
-
 func (ctl *Controller) load(vew *view, asn core.Assignment, rnk int) []Action {
 	vmn := asn.VMs[rnk]
-	ord := orderOf(asn, rnk, core.ActionLoad)
+	ord := core.Order{
+		Number:  asn.Order,
+		Action:  core.ActionLoad,
+		Group:   asn.Group,
+		Spec:    asn.Spec,
+		Members: asn.VMs,
+		Rank:    rnk,
+	}
 	if ctl.recent(vew, vmn, ord) || !ctl.may(vew, vmn, asn) || !ctl.budget.take(vew.in) {
 		return nil
 	}
@@ -145,10 +143,11 @@
 }
 
 func (ctl *Controller) may(vew *view, vmn core.VMName, asn core.Assignment) bool {
-	if !vew.in.LogOK && !vew.in.ZoneAgrees && !vew.in.Fencing.Has(vmn) {
+	fnc := vew.in.Fencing.Has(vmn)
+	if !vew.in.LogOK && !vew.in.ZoneAgrees && !fnc {
 		return false
 	}
-	snd := Send{Fencing: vew.in.Fencing.Has(vmn), AssignedSeen: ctl.seen(asn)}
+	snd := Send{Fencing: fnc, AssignedSeen: ctl.seen(asn)}
 	return order.May(snd.Request(vew.in.Confirmed, vew.in.Now, vew.in.Weights.Lease)) == nil
 }
 
@@ -156,14 +155,3 @@
 	same := prb.Group == asn.Group && prb.Order == asn.Order && prb.Spec.Equal(asn.Spec)
 	return prb.State == core.EngineEmpty || !same
 }
-
-func orderOf(asn core.Assignment, rnk int, act core.Action) core.Order {
-	return core.Order{
-		Number:  asn.Order,
-		Action:  act,
-		Group:   asn.Group,
-		Spec:    asn.Spec,
-		Members: asn.VMs,
-		Rank:    rnk,
-	}
-}
--- a/core/repair/policy.go
+++ b/core/repair/policy.go
@@ -1,109 +1,151 @@
 package repair
 
 import (
-	"slices"
 	"time"
-
-	"kumquathinge/core"
-)
-
-// Reasons of a retirement.
-const (
-	reasonUnwanted = "not wanted"
-	reasonSpec     = "settings changed"
-	reasonLeaving  = "member leaves"
-	reasonReplace  = "member replaced"
-	reasonBreakUp  = "broken up for another group"
 )
 
-// rollShare of the groups of a model may be out of service for a planned
-// change, and always one.
-const rollShare = 0.25
+// Case is a group that can't serve because members are missing. Gone is the
+// time for which the first of them has been missing, Rebuild the time that a
+// new generation on other VMs would take, and Reload the time that a member
+// takes to load after it returned empty. Placed states that VMs for a new
+// generation are there. Beyond holds the absences known from experience that
+// were longer than Gone.
+type Case struct {
+	Size    int
+	Missing int
+	Gone    time.Duration
+	Rebuild time.Duration
+	Reload  time.Duration
+	Placed  bool
+	Weights Weights
+	beyond  []returned
+}
 
-// reason returns why the assignment should be retired now, empty if it should
-// not.
-func (ctl *Controller) reason(vew *view, asn core.Assignment) string {
-	wnt, ok := vew.want[asn.Group]
-	if !ok || !wnt.Enabled || wnt.Draining {
-		return reasonUnwanted
-	}
-	if slices.ContainsFunc(asn.VMs, vew.leaving) {
-		if vew.in.InFlight[asn.Group] > 0 {
-			return ""
-		}
-		return reasonLeaving
-	}
-	if changed(wnt, asn) && ctl.mayRoll(vew, asn) {
-		return reasonSpec
-	}
-	return ctl.reasonMissing(vew, asn)
+// Pending is a group whose members wait to load. Loads is the number of loads
+// that it needs, Missing that of members that can't be loaded now, and Waited
+// the time since its assignment.
+type Pending struct {
+	Size    int
+	Loads   int
+	Missing int
+	Waited  time.Duration
+	Weights Weights
 }
 
-func changed(wnt Wanted, asn core.Assignment) bool {
-	return !wnt.Spec.Equal(asn.Spec) || wnt.Size != len(asn.VMs) || (wnt.Domain != "" && wnt.Domain != asn.Domain)
+// Policy decides what is a matter of cost and not of safety. Replace reports
+// whether to retire the assignment of an incomplete group and to build it anew
+// on other VMs. BreakUp reports whether to take a complete group of size
+// victim apart for it. Urgency ranks the groups that wait for loads; the
+// greatest comes first.
+type Policy interface {
+	Replace(cse Case) bool
+	BreakUp(cse Case, victim int) bool
+	Urgency(pnd Pending) float64
 }
 
-// mayRoll reports whether another group of the model may go out of service.
-func (ctl *Controller) mayRoll(vew *view, asn core.Assignment) bool {
-	if !vew.ready(asn) {
-		return true
+var (
+	_ Policy = Weighted{}
+	_ Policy = AlwaysWait{}
+	_ Policy = AlwaysRebuild{}
+)
+
+// AlwaysWait never replaces a missing member. Loads queue in the order of the
+// assignments. It serves as a baseline.
+type AlwaysWait struct{}
+
+// Replace returns false.
+func (AlwaysWait) Replace(Case) bool { return false }
+
+// BreakUp returns false.
+func (AlwaysWait) BreakUp(Case, int) bool { return false }
+
+// Urgency is the time since the assignment.
+func (AlwaysWait) Urgency(pnd Pending) float64 { return pnd.Waited.Seconds() }
+
+// AlwaysRebuild gives up a group at once when a member is missing and builds
+// it anew when VMs are there. Loads queue in the order of the assignments. It
+// serves as a baseline.
+type AlwaysRebuild struct{}
+
+// Replace returns true.
+func (AlwaysRebuild) Replace(Case) bool { return true }
+
+// BreakUp returns false.
+func (AlwaysRebuild) BreakUp(Case, int) bool { return false }
+
+// Urgency is the time since the assignment.
+func (AlwaysRebuild) Urgency(pnd Pending) float64 { return pnd.Waited.Seconds() }
+
+// Weighted waits for a missing member as long as experience says that this
+// costs less than building the group anew.
+type Weighted struct{}
+
+// Replace chooses the instant at which to stop waiting: the one with the
+// least expected downtime over the absences that lasted longer than this one.
+// It returns true if that instant is now. It never gives up a group that
+// can't be placed.
+func (Weighted) Replace(cse Case) bool {
+	if !cse.Placed {
+		return false
 	}
-	all, down := 0, 0
-	for _, wnt := range vew.wanted {
-		if wnt.Spec.Model != asn.Spec.Model || !wnt.Enabled || wnt.Draining {
-			continue
-		}
-		all++
-		oth := vew.asns[wnt.Group]
-		_, pending := ctl.proposed[wnt.Group]
-		if pending || oth.Phase != core.PhaseAssigned || !vew.ready(oth) {
-			down++
+	now := cse.cost(cse.Gone)
+	for _, ret := range cse.beyond {
+		if cse.cost(ret.after) < now {
+			return false
 		}
 	}
-	return down < max(1, int(float64(all)*rollShare))
+	return true
 }
 
-// reasonMissing decides whether to go on waiting for missing members.
-func (ctl *Controller) reasonMissing(vew *view, asn core.Assignment) string {
-	missing, longest := ctl.missing(vew, asn)
-	if missing == 0 || longest < vew.in.Weights.ReturnWait {
-		return ""
+// cost returns the expected time until the group serves, if it is rebuilt
+// after an absence of stop.
+func (cse Case) cost(stop time.Duration) float64 {
+	if len(cse.beyond) == 0 {
+		return (stop - cse.Gone + cse.Rebuild).Seconds()
 	}
-	if len(ctl.free(vew)[asn.Domain]) >= missing {
-		return reasonReplace
+	var sum time.Duration
+	for _, ret := range cse.beyond {
+		switch {
+		case ret.after > stop:
+			sum += stop - cse.Gone + cse.Rebuild
+		case ret.intact:
+			sum += ret.after - cse.Gone
+		default:
+			sum += ret.after - cse.Gone + cse.Reload
+		}
 	}
-	return ""
+	return sum.Seconds() / float64(len(cse.beyond))
 }
 
-// missing returns the number of members that do not answer and the time for
-// which the first of them has been missing.
-func (ctl *Controller) missing(vew *view, asn core.Assignment) (int, time.Duration) {
-	num := 0
-	var longest time.Duration
-	for _, vmn := range asn.VMs {
-		if gone := ctl.goneFor(vew, vmn, asn); gone > 0 {
-			num++
-			longest = max(longest, gone)
-		}
+// BreakUp weighs the gain, a larger group in place of a smaller one for the
+// time for which the member is expected to stay away, against the time in
+// which both are being built.
+func (Weighted) BreakUp(cse Case, victim int) bool {
+	if victim >= cse.Size || len(cse.beyond) == 0 {
+		return false
+	}
+	var rest time.Duration
+	for _, ret := range cse.beyond {
+		rest += ret.after - cse.Gone
 	}
-	return num, longest
+	rest /= time.Duration(len(cse.beyond))
+	gain := cse.Weights.Stranded * float64(cse.Size-victim) * (rest - cse.Rebuild).Seconds()
+	loss := cse.Weights.rate(victim) * (2 * cse.Rebuild).Seconds()
+	return gain > loss
 }
 
-// goneFor returns how long the member has not answered. A member that was
-// never probed counts from the assignment on.
-func (ctl *Controller) goneFor(vew *view, vmn core.VMName, asn core.Assignment) time.Duration {
-	if trk, ok := ctl.vms[vmn]; ok {
-		return trk.goneFor(vew.in.Now)
+// Urgency follows Smith's rule (Various Optimizers for Single-Stage
+// Production, 1956): the weighted sum of completion times is least if the
+// group with the greatest weight per load comes first. A group that lacks a
+// member gains nothing from a load and comes last.
+func (Weighted) Urgency(pnd Pending) float64 {
+	if pnd.Missing > 0 || pnd.Loads == 0 {
+		return 0
 	}
-	return max(1, vew.in.Now.Sub(ctl.seen(asn)))
+	return pnd.Weights.rate(pnd.Size) / float64(pnd.Loads)
 }
 
-// seen returns the instant at which the phase of the assignment was first
-// seen.
-func (ctl *Controller) seen(asn core.Assignment) time.Time {
-	trk, ok := ctl.grps[asn.Group]
-	if !ok {
-		return time.Time{}
-	}
-	return trk.seen
+// rate is the weighted cost per second of a group of size VMs that can't serve.
+func (wts Weights) rate(size int) float64 {
+	return wts.Downtime + wts.Stranded*float64(size)
 }
--- a/core/repair/propose.go
+++ b/core/repair/propose.go
@@ -7,35 +7,31 @@
 
 // proposals returns the records to propose now, those that free VMs first.
 func (ctl *Controller) proposals(vew *view) []Action {
-	var out []Action
+	out := ctl.unloaded(vew)
 	for _, asn := range vew.live {
-		if asn.Phase == core.PhaseRetired {
-			out = append(out, ctl.unloaded(vew, asn)...)
-			continue
-		}
 		out = append(out, ctl.review(vew, asn)...)
 	}
-	free := ctl.free(vew)
+	pol := ctl.pool(vew)
 	for _, wnt := range vew.wanted {
-		out = append(out, ctl.assign(vew, wnt, free)...)
+		out = append(out, ctl.assign(vew, wnt, pol)...)
 	}
 	return out
 }
 
 // assign proposes VMs for a wanted group that has none.
-func (ctl *Controller) assign(vew *view, wnt Wanted, free map[core.Domain][]core.VMName) []Action {
+func (ctl *Controller) assign(vew *view, wnt Wanted, pol pool) []Action {
 	asn := vew.asns[wnt.Group]
-	if !wnt.Enabled || wnt.Draining || len(asn.VMs) > 0 {
+	if !wnt.Enabled || wnt.Draining || asn.Phase == core.PhaseAssigned {
 		return nil
 	}
-	if _, ok := ctl.proposed[wnt.Group]; ok {
+	if _, ok := ctl.proposed[wnt.Group]; ok || ctl.draining(vew, asn) {
 		return nil
 	}
-	dom, vms := place(vew, wnt, free)
+	dom, vms := pol.take(vew, wnt)
 	if vms == nil {
+		pol.reserve(wnt)
 		return nil
 	}
-	free[dom] = free[dom][len(vms):]
 	rec := recd.Record{Assign: &recd.Assign{
 		Group:  wnt.Group,
 		Zone:   wnt.Zone,
@@ -47,26 +43,41 @@
 	return ctl.propose(vew, wnt.Group, rec, vms)
 }
 
-// unloaded proposes to free the members of a retired assignment once each was
-// known empty for the dispatch bound, or has not answered for it.
-func (ctl *Controller) unloaded(vew *view, asn core.Assignment) []Action {
-	for _, vmn := range asn.VMs {
-		if !ctl.released(vew, vmn, asn) {
-			return nil
-		}
-	}
-	rec := recd.Record{Unload: &recd.Unload{Group: asn.Group, Base: asn.Order, VMs: asn.VMs}}
-	return ctl.propose(vew, asn.Group, rec, nil)
+// generation is an assignment of a group.
+type generation struct {
+	group core.GroupName
+	order core.Offset
 }
 
-func (ctl *Controller) released(vew *view, vmn core.VMName, asn core.Assignment) bool {
-	trk := ctl.vms[vmn]
-	bound := vew.in.Weights.Bound
-	if trk.idleFor(vew.in.Now, bound) {
-		return true
+// unloaded proposes to free the VMs of assignments that serve no more, once
+// they were known empty for the dispatch bound. It waits for members that are
+// about to get there, so that one record frees them all, but not for missing
+// ones: these stay held until they are seen empty.
+func (ctl *Controller) unloaded(vew *view) []Action {
+	var gens []generation
+	ready := make(map[generation][]core.VMName)
+	busy := core.NewSet[core.GroupName]()
+	for _, hld := range vew.stale {
+		gen := generation{group: hld.Group, order: hld.Order}
+		switch {
+		case ctl.vms[hld.VM].idleFor(vew.in.Now, vew.in.Weights.Bound):
+			if len(ready[gen]) == 0 {
+				gens = append(gens, gen)
+			}
+			ready[gen] = append(ready[gen], hld.VM)
+		case vew.fresh(hld.VM):
+			busy.Add(hld.Group)
+		}
+	}
+	var out []Action
+	for _, gen := range gens {
+		if busy.Has(gen.group) {
+			continue
+		}
+		rec := recd.Record{Unload: &recd.Unload{Group: gen.group, Base: gen.order, VMs: ready[gen]}}
+		out = append(out, ctl.propose(vew, gen.group, rec, nil)...)
 	}
-	gone := ctl.goneFor(vew, vmn, asn)
-	return gone >= bound
+	return out
 }
 
 // review proposes to retire an assignment that should not go on.
--- a/core/repair/track.go
+++ b/core/repair/track.go
@@ -7,27 +7,57 @@
 	"kumquathinge/core/gate"
 )
 
-// observe updates the track from a sight. An old probe is no sign of a lost
-// server by itself, but it ends the time for which the server is known empty.
-func (trk *track) observe(sgt gate.Sight, now time.Time, bound time.Duration) {
+// track is what a Controller remembers of a VM. Idle is the instant since
+// which every probe showed it empty; gone is the one at which a fresh
+// connection failed, zero if it has answered since.
+type track struct {
+	idle    time.Time
+	gone    time.Time
+	inc     core.Incarnation
+	ordered time.Time
+	number  core.Offset
+	action  core.Action
+	loading time.Time
+}
+
+func (trk *track) observe(sgt gate.Sight, now time.Time, bound time.Duration, past *history) {
 	if !sgt.Fresh(now, bound) {
 		trk.idle = time.Time{}
-		if trk.gone.IsZero() && !sgt.Seen() {
-			trk.gone = sgt.Missing
-		}
+		trk.loading = time.Time{}
 		if trk.gone.IsZero() {
-			trk.gone = now
+			trk.gone = sgt.Missing
 		}
 		return
 	}
+	if !trk.gone.IsZero() && trk.inc != "" {
+		past.returned(now.Sub(trk.gone), sgt.Probe.Incarnation == trk.inc)
+	}
 	trk.gone = time.Time{}
-	if sgt.Probe.State != core.EngineEmpty || sgt.Probe.Incarnation != trk.inc {
+	trk.observeState(sgt, past)
+	trk.inc = sgt.Probe.Incarnation
+}
+
+func (trk *track) observeState(sgt gate.Sight, past *history) {
+	prb := sgt.Probe
+	if prb.State != core.EngineEmpty || prb.Incarnation != trk.inc {
 		trk.idle = time.Time{}
 	}
-	trk.inc = sgt.Probe.Incarnation
-	if sgt.Probe.State == core.EngineEmpty && trk.idle.IsZero() {
+	if prb.State == core.EngineEmpty && trk.idle.IsZero() {
 		trk.idle = sgt.Sent
 	}
+	switch prb.State {
+	case core.EngineLoading:
+		if trk.loading.IsZero() {
+			trk.loading = sgt.Sent
+		}
+	case core.EngineReady:
+		if !trk.loading.IsZero() {
+			past.loaded(prb.Spec.Model, sgt.Sent.Sub(trk.loading))
+		}
+		trk.loading = time.Time{}
+	default:
+		trk.loading = time.Time{}
+	}
 }
 
 // idleFor reports whether the VM has been empty for at least dur.
@@ -35,10 +65,10 @@
 	return trk != nil && !trk.idle.IsZero() && now.Sub(trk.idle) >= dur
 }
 
-// goneFor returns how long the VM has not answered, zero if it has.
-func (trk *track) goneFor(now time.Time) time.Duration {
+// goneFor returns how long the VM has been missing and whether it is.
+func (trk *track) goneFor(now time.Time) (time.Duration, bool) {
 	if trk == nil || trk.gone.IsZero() {
-		return 0
+		return 0, false
 	}
-	return now.Sub(trk.gone)
+	return now.Sub(trk.gone), true
 }
