Estimate the wait by the rate that an organisation got

Cause: at an offer, the fair part of the rate among those who wait at that instant promised more than organisations beyond their share got, so two in three refusals came after a wait. Change: the wait is no less than the work ahead over the rate that the organisation got while it waited, over about 10 s. Seen to fail without the rate: TestPace; without the check of waiting items: TestPassed.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -293,6 +293,34 @@
 	assert.Equal(t, srv.answer(late), "105", "it needs a second")
 }
 
+// TestPassed wants an item refused soon after others have come before it, not
+// when its service would have to begin.
+func TestPassed(t *testing.T) {
+	srv := newServer(t, admit.Config{}, 1)
+	srv.offer(admit.Item{Org: "a"})
+	srv.run(1100 * time.Millisecond)
+	srv.offer(admit.Item{Org: "a"})
+	low := srv.offer(admit.Item{Org: "a", Deadline: srv.now.Add(6 * time.Second)})
+	srv.run(100 * time.Millisecond)
+	assert.Equal(t, srv.answer(low), "wait")
+	for range 8 {
+		srv.offer(admit.Item{Org: "a", Priority: 2})
+	}
+	srv.run(100 * time.Millisecond)
+	assert.Equal(t, srv.answer(low), "105")
+}
+
+// TestPace wants the rate that an organisation got lately to count, here that
+// of one item a second by its concurrency.
+func TestPace(t *testing.T) {
+	srv := newServer(t, admit.Config{}, 4)
+	srv.mac.SetOrg("a", admit.OrgLimits{Concurrency: 1})
+	srv.feed(6*time.Second, stream{org: "a", every: 300 * time.Millisecond})
+	short := srv.offer(admit.Item{Org: "a", Deadline: srv.now.Add(8 * time.Second)})
+	long := srv.offer(admit.Item{Org: "a", Deadline: srv.now.Add(40 * time.Second)})
+	assert.Equal(t, srv.answer(short)+srv.answer(long), "105wait")
+}
+
 // TestCapacity drops the slots to zero and brings them back.
 func TestCapacity(t *testing.T) {
 	srv := newServer(t, admit.Config{}, 2)
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -52,7 +52,7 @@
 	}
 	ent := &entry{item: itm, org: og, pool: pol, flow: flw, due: mac.due(itm, now)}
 	mac.entries[itm.ID] = ent
-	pol.push(ent)
+	pol.push(ent, now)
 	mac.bound(pol, flw)
 	mac.fill(pol, now)
 	return mac.flush()
@@ -79,7 +79,9 @@
 	if left > 0 && pol.running == 0 && pol.waiting == 0 {
 		return Refuse{}, false
 	}
-	need := seconds(pol.delay(flw, flw.ahead(itm.Priority)) + pol.service(itm.Work))
+	ahead := flw.ahead(itm.Priority)
+	wait := max(pol.delay(flw, ahead), flw.pace(ahead, now))
+	need := seconds(wait + pol.service(itm.Work))
 	if need < left {
 		return Refuse{}, false
 	}
@@ -138,6 +140,7 @@
 }
 
 func (mac *Machine) admit(ent *entry, now time.Time) {
+	ent.flow.serve(ent.item.Work, now)
 	ent.pool.remove(ent)
 	ent.flow.tag += ent.item.Work / ent.org.weight()
 	ent.running = true
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -19,52 +19,6 @@
 	started time.Time
 }
 
-// flow is one organisation's waiting items for one model.
-type flow struct {
-	org     *org
-	queues  [][]*entry // by priority, first due first
-	items   int
-	backlog float64 // work
-	tag     float64 // work per weight
-	index   int     // in pool.active, or -1
-}
-
-// top returns the most urgent priority that has items. It panics if there is
-// none.
-func (flw *flow) top() int {
-	for pri := len(flw.queues) - 1; pri >= 0; pri-- {
-		if len(flw.queues[pri]) > 0 {
-			return pri
-		}
-	}
-	panic("admit: top of an empty flow")
-}
-
-// bottom returns the item due last of the least urgent priority. It panics if
-// there is none.
-func (flw *flow) bottom() *entry {
-	for _, que := range flw.queues {
-		if len(que) > 0 {
-			return que[len(que)-1]
-		}
-	}
-	panic("admit: bottom of an empty flow")
-}
-
-// ahead returns the work that waits at the priority or a more urgent one.
-func (flw *flow) ahead(pri int) float64 {
-	if pri == 0 {
-		return flw.backlog
-	}
-	var sum float64
-	for _, que := range flw.queues[pri:] {
-		for _, ent := range que {
-			sum += ent.item.Work
-		}
-	}
-	return sum
-}
-
 // pool is one model's slots, its waiting items and its observed service.
 type pool struct {
 	model    core.ModelName
@@ -90,10 +44,11 @@
 	return flw
 }
 
-func (pol *pool) push(ent *entry) {
+func (pol *pool) push(ent *entry, now time.Time) {
 	flw := ent.flow
 	if flw.items == 0 {
 		flw.tag = pol.start(flw)
+		flw.since, flw.at, flw.served = now, now, 0
 		flw.index = len(pol.active)
 		pol.active = append(pol.active, flw)
 		pol.weights += flw.org.weight()
