Keep only the slices of time in which something was sent

Cause: half of the time of Choose among 70 groups went into walking the empty slices after a load report (profile). Change: the ring holds the slices in use, found by binary search; the holders of a prefix block are map values.

--- a/core/route/affinity.go
+++ b/core/route/affinity.go
@@ -54,11 +54,9 @@
 func (rtr *Router) holding(blocks []uint64, tot total) int {
 	best := -1
 	for num := len(blocks); num > 0 && best < 0; num-- {
-		ent := rtr.holds.get(blocks[num-1])
-		if ent == nil {
-			continue
+		if ent := rtr.holds.get(blocks[num-1]); ent.num > 0 {
+			best = rtr.among(&ent, tot)
 		}
-		best = rtr.among(ent, tot)
 	}
 	return best
 }
@@ -147,55 +145,56 @@
 // the younger has half the blocks allowed, the older is dropped.
 type index struct {
 	half  int
-	young map[uint64]*holders
-	old   map[uint64]*holders
+	young map[uint64]holders
+	old   map[uint64]holders
 }
 
 func newIndex(size int) *index {
-	return &index{half: max(1, size/2), young: make(map[uint64]*holders)}
+	half := max(1, size/2)
+	return &index{half: half, young: make(map[uint64]holders)}
 }
 
-// get returns a block's holders, or nil.
-func (idx *index) get(block uint64) *holders {
+// get returns a block's holders, none if it isn't remembered.
+func (idx *index) get(block uint64) holders {
 	if ent, ok := idx.young[block]; ok {
 		return ent
 	}
 	return idx.old[block]
 }
 
-func (idx *index) add(blocks []uint64, hld holder) {
-	for _, blk := range blocks {
-		idx.entry(blk).add(hld)
+// put remembers a block's holders in the young generation.
+func (idx *index) put(block uint64, ent holders) {
+	if _, ok := idx.young[block]; !ok && len(idx.young) >= idx.half {
+		old := idx.old
+		idx.old = idx.young
+		clear(old)
+		idx.young = old
+		if idx.young == nil {
+			idx.young = make(map[uint64]holders)
+		}
 	}
+	idx.young[block] = ent
 }
 
-// entry returns a block's holders in the young generation.
-func (idx *index) entry(block uint64) *holders {
-	if ent, ok := idx.young[block]; ok {
-		return ent
-	}
-	if len(idx.young) >= idx.half {
-		idx.old = idx.young
-		idx.young = make(map[uint64]*holders)
-	}
-	ent, ok := idx.old[block]
-	if ok {
-		delete(idx.old, block)
-	} else {
-		ent = &holders{}
+func (idx *index) add(blocks []uint64, hld holder) {
+	for _, blk := range blocks {
+		ent := idx.get(blk)
+		ent.add(hld)
+		idx.put(blk, ent)
 	}
-	idx.young[block] = ent
-	return ent
 }
 
 // correct takes in one cache event. An event is believed over what was
 // believed before, since at worst it costs one miss.
 func (idx *index) correct(evt core.CacheEvent, hld holder) {
-	if evt.Present {
-		idx.entry(evt.Block).add(hld)
-		return
-	}
-	if ent := idx.get(evt.Block); ent != nil {
+	ent := idx.get(evt.Block)
+	switch {
+	case evt.Present:
+		ent.add(hld)
+	case ent.has(hld):
 		ent.drop(hld)
+	default:
+		return
 	}
+	idx.put(evt.Block, ent)
 }
--- a/core/route/group.go
+++ b/core/route/group.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,7 +10,8 @@
 )
 
 // Sent requests are counted in slices of time, so that those before and after
-// a load report can be told apart.
+// a load report can be told apart. Only slices in which something was sent or
+// ended are kept.
 const (
 	sliceTime  = 50 * time.Millisecond
 	sliceCount = 128
@@ -27,6 +29,8 @@
 	served int
 	net    int // sent less ended, since the start
 	ring   [sliceCount]slice
+	first  int // position of the oldest slice in ring
+	slices int // slices in ring
 }
 
 // slice holds the value of net when its time began.
@@ -55,36 +59,46 @@
 // sent counts a request sent (1) or ended (-1).
 func (grp *group) sent(num int, now time.Time) {
 	cur := now.UnixNano() / int64(sliceTime)
-	slc := &grp.ring[uint64(cur)%sliceCount]
-	if slc.at != cur {
-		*slc = slice{at: cur, net: grp.net}
+	if grp.slices == 0 || grp.slice(grp.slices-1).at < cur {
+		grp.push(slice{at: cur, net: grp.net})
 	}
 	grp.net += num
 }
 
+// slice returns the slice at a position from the oldest on.
+func (grp *group) slice(pos int) *slice {
+	return &grp.ring[(grp.first+pos)%sliceCount]
+}
+
+// push adds the latest slice, in place of the oldest if the ring is full.
+func (grp *group) push(slc slice) {
+	if grp.slices == sliceCount {
+		grp.first = (grp.first + 1) % sliceCount
+		grp.slices--
+	}
+	grp.slices++
+	*grp.slice(grp.slices - 1) = slc
+}
+
 // since returns how many more requests were sent than ended since the start
-// of the slice that holds at. Times before the ring's reach count from its
-// oldest slice.
-func (grp *group) since(at, now time.Time) int {
+// of the slice that holds at, or since the oldest slice if that is later.
+func (grp *group) since(at time.Time) int {
 	first := at.UnixNano() / int64(sliceTime)
-	last := now.UnixNano() / int64(sliceTime)
-	first = max(first, last-sliceCount+1)
-	for cur := first; cur <= last; cur++ {
-		if slc := grp.ring[uint64(cur)%sliceCount]; slc.at == cur {
-			return grp.net - slc.net
-		}
+	pos := sort.Search(grp.slices, func(pos int) bool { return grp.slice(pos).at >= first })
+	if pos == grp.slices {
+		return 0
 	}
-	return 0
+	return grp.net - grp.slice(pos).net
 }
 
 // estimate returns the number of requests that the group is believed to have:
 // the last report and the change since, but no less than this entry VM's own.
-func (grp *group) estimate(cnd *core.Candidate, now time.Time) float64 {
+func (grp *group) estimate(cnd *core.Candidate) float64 {
 	own := cnd.InFlight
 	if cnd.LoadAt.IsZero() {
 		return float64(own)
 	}
-	sum := cnd.Load.Running + cnd.Load.Queued + grp.since(cnd.LoadAt, now)
+	sum := cnd.Load.Running + cnd.Load.Queued + grp.since(cnd.LoadAt)
 	return float64(max(sum, own, 0))
 }
 
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -73,7 +73,7 @@
 	if len(cands) == 0 {
 		return -1
 	}
-	rtr.look(cands, now)
+	rtr.look(cands)
 	idx := rtr.pick(blocks, rnd)
 	grp := rtr.views[idx].grp
 	grp.sent(1, now)
@@ -93,7 +93,7 @@
 }
 
 // look fills views with what is known of the candidates.
-func (rtr *Router) look(cands []core.Candidate, now time.Time) {
+func (rtr *Router) look(cands []core.Candidate) {
 	rtr.views = rtr.views[:0]
 	for idx := range cands {
 		cnd := &cands[idx]
@@ -102,7 +102,7 @@
 		wide := max(1, float64(cnd.Capacity))
 		rtr.views = append(rtr.views, view{
 			grp:  grp,
-			load: grp.estimate(cnd, now) / wide,
+			load: grp.estimate(cnd) / wide,
 			cap:  wide,
 		})
 	}
