Fit the queue to the settings: priorities, tokens and depth

Cause: settings allow priorities 0 to 9, count generated tokens, and bound the requests that wait for a model or service; the queue had 4 priorities, counted prompts too, and had no way to set the bound. The daemon reports generated tokens only, so every answer looked smaller than expected. Change: 10 priorities, cost in generated tokens, SetDepth; a plain call counts as one token, so that its service time is observed; errors are core.Error with the time to retry after. A bound applies to what waits after free slots are filled. Seen to fail with a waiting entry kept after its caller left: TestManyCallers; with the depth ignored: TestDepth.

--- a/core/admit/config.go
+++ b/core/admit/config.go
@@ -10,7 +10,7 @@
 const (
 	DefaultMaxQueued  = 4096
 	DefaultMaxPerOrg  = 2048
-	DefaultPriorities = 4
+	DefaultPriorities = 10
 	DefaultLead       = 256.0  // work per unit of weight
 	DefaultCredit     = 2048.0 // work per unit of weight
 	DefaultBurst      = time.Second
@@ -21,7 +21,7 @@
 
 // Config sets the bounds of a Machine. Zero fields take the defaults.
 type Config struct {
-	MaxQueued  int           // items waiting for one model
+	MaxQueued  int           // items waiting for one model, until SetDepth
 	MaxPerOrg  int           // items of one organisation waiting for one model
 	Priorities int           // priorities run from 0 to Priorities-1, the most urgent
 	Lead       float64       // work per weight by which priority may run ahead
@@ -44,8 +44,8 @@
 	Priority    int
 }
 
-// Item is a request that asks to run. Cost is its expected size in tokens, for
-// the organisation's limits. Work is its expected size as the models feel it,
+// Item is a request that asks to run. Cost is its expected size in generated
+// tokens, for the organisation's limits. Work is its expected size as the models feel it,
 // in any unit that all items of a model share, for fair shares and estimates
 // of time; Cost stands for it if it is zero. Cost must be positive and Work not
 // negative. IDs are unique among the items that wait or run. The zero Deadline
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -53,8 +53,8 @@
 	ent := &entry{item: itm, org: og, pool: pol, flow: flw, due: mac.due(itm, now)}
 	mac.entries[itm.ID] = ent
 	pol.push(ent, now)
-	mac.bound(pol, flw)
 	mac.fill(pol, now)
+	mac.bound(pol, flw)
 	return mac.flush()
 }
 
@@ -89,12 +89,12 @@
 	return Refuse{ID: itm.ID, Code: core.CodeDeadline, After: after}, true
 }
 
-// bound refuses an item if the queue is over one of its bounds.
+// bound refuses items while the queue is over one of its bounds.
 func (mac *Machine) bound(pol *pool, flw *flow) {
-	if flw.items > mac.cfg.MaxPerOrg {
+	for flw.items > mac.cfg.MaxPerOrg {
 		mac.drop(flw.bottom())
 	}
-	if pol.waiting > mac.cfg.MaxQueued {
+	for pol.waiting > pol.depth {
 		mac.drop(pol.longest().bottom())
 	}
 }
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -23,6 +23,7 @@
 type pool struct {
 	model    core.ModelName
 	slots    int
+	depth    int // items that may wait
 	running  int
 	waiting  int
 	backlog  float64 // work
--- a/core/admit/set.go
+++ b/core/admit/set.go
@@ -20,6 +20,15 @@
 	mac.pool(model).slots = slots
 }
 
+// SetDepth bounds how many items may wait for the model. Items beyond a lower
+// bound are refused as new ones come. SetDepth panics if depth is negative.
+func (mac *Machine) SetDepth(model core.ModelName, depth int) {
+	if depth < 0 {
+		panic("admit: negative depth")
+	}
+	mac.pool(model).depth = depth
+}
+
 // SetOrg sets an organisation's limits.
 func (mac *Machine) SetOrg(name core.OrgName, lim OrgLimits) {
 	og := mac.org(name)
@@ -93,7 +102,7 @@
 func (mac *Machine) pool(model core.ModelName) *pool {
 	pol, ok := mac.pools[model]
 	if !ok {
-		pol = &pool{model: model, credit: mac.cfg.Credit, flows: make(map[core.OrgName]*flow)}
+		pol = &pool{model: model, credit: mac.cfg.Credit, depth: mac.cfg.MaxQueued, flows: make(map[core.OrgName]*flow)}
 		mac.pools[model] = pol
 	}
 	return pol
--- a/model/trial/arrival.go
+++ b/model/trial/arrival.go
@@ -28,8 +28,8 @@
 	Priority int          `json:"pri"`
 }
 
-// cost is the size in tokens that admission expects.
-func (arr *Arrival) cost() float64 { return float64(arr.Prompt + arr.Max) }
+// cost is the generated tokens that admission expects.
+func (arr *Arrival) cost() float64 { return float64(arr.Max) }
 
 // work is the size that the groups feel: a prompt token takes a small part of
 // the time of a token that is generated.
@@ -37,6 +37,7 @@
 	return float64(arr.Prompt)*queue.PromptWork + float64(arr.Max)
 }
 
+// used is the size in tokens that Result counts.
 func (arr *Arrival) used() int { return arr.Prompt + arr.Output }
 
 // Read reads arrivals, one JSON object a line. They must be in the order of
--- a/model/trial/trial.go
+++ b/model/trial/trial.go
@@ -233,7 +233,7 @@
 		nod.learner.Served(name(req.group), lat, tri.now)
 	}
 	if nod.mac != nil {
-		tri.carry(nod.mac.Done(req.id, req.arr.used(), tri.now))
+		tri.carry(nod.mac.Done(req.id, req.arr.Output, tri.now))
 	}
 }
 
--- a/queue/enter.go
+++ b/queue/enter.go
@@ -2,74 +2,51 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"time"
 
 	"kumquathinge/core"
 	"kumquathinge/core/admit"
 )
 
-// Refusal is the error of a job that did not run. It carries a result code
-// for core.CodeOf.
-type Refusal struct {
-	code   core.Code
-	detail string
-	after  time.Duration
-}
-
-var _ error = (*Refusal)(nil)
-
-// Error returns the code and the detail.
-func (ref *Refusal) Error() string { return fmt.Sprintf("code %d: %s", ref.code, ref.detail) }
-
-// Unwrap returns the core.Error with the result code.
-func (ref *Refusal) Unwrap() error {
-	return core.AfterError(core.Errorf(ref.code, "%s", ref.detail), ref.after)
-}
-
-// After returns the time after which a new try may succeed, zero if unknown.
-func (ref *Refusal) After() time.Duration { return ref.after }
-
-// After returns the time that a Refusal anywhere in the chain of err states,
-// and zero without one.
-func After(err error) time.Duration {
-	var ref *Refusal
-	if errors.As(err, &ref) {
-		return ref.after
-	}
-	return 0
-}
-
-func refusal(ref admit.Refuse) *Refusal {
-	var detail string
+// refusal returns the error of a job that did not run.
+func refusal(ref admit.Refuse) *core.Error {
+	var err *core.Error
 	switch ref.Code {
 	case core.CodeDeadline:
-		detail = "the deadline can't be met"
+		err = core.Errorf(ref.Code, "the deadline can't be met")
 	case core.CodeOrgLimit:
-		detail = "the organisation's limit is used up"
+		err = core.Errorf(ref.Code, "the organisation's limit is used up")
 	default:
-		detail = "the queue is full"
+		err = core.Errorf(ref.Code, "the queue is full")
 	}
-	return &Refusal{code: ref.Code, detail: detail, after: ref.After}
+	return core.AfterError(err, ref.After)
+}
+
+func draining() *core.Error {
+	return core.Errorf(core.CodeDraining, "the entry VM is stopping")
 }
 
 // Ticket is the right to run a job. Its holder calls Done once.
 type Ticket struct {
-	que *Queue
-	id  uint64
+	que   *Queue
+	id    uint64
+	plain bool
 }
 
-// Done tells that the job has ended and used so many tokens, or none if it
-// did not run after all. Done doesn't block for longer than the task takes to
-// get to its messages.
+// Done tells that the job has ended and generated so many tokens, or none if
+// it did not run after all. A call of a plain service counts as one token
+// whatever its end. Done doesn't block for longer than the task takes to get to
+// its messages.
 func (tkt *Ticket) Done(tokens int) {
 	que := tkt.que
+	if tkt.plain {
+		tokens = 1
+	}
 	que.send(func() { que.carry(que.mac.Done(tkt.id, tokens, que.clock())) })
 }
 
-// Enter blocks until the job may run. The error is a Refusal, or carries
-// CodeCallerGone if ctx was done first; the job then surely did not run.
+// Enter blocks until the job may run. The error carries the code of the
+// refusal, with the time to retry after (core.AfterOf), or CodeCallerGone if ctx
+// was done first. The job then surely did not run.
 func (que *Queue) Enter(ctx context.Context, job core.Job) (*Ticket, error) {
 	ans := make(chan verdict, 1)
 	got := make(chan uint64, 1)
@@ -78,28 +55,24 @@
 	}
 	select {
 	case ver := <-ans:
-		return que.ticket(<-got, ver)
+		return que.ticket(<-got, job, ver)
 	case <-ctx.Done():
 		return nil, que.leave(ans, got)
 	case <-que.stop:
 	}
 	select {
 	case ver := <-ans:
-		return que.ticket(<-got, ver)
+		return que.ticket(<-got, job, ver)
 	default:
 		return nil, draining()
 	}
 }
 
-func draining() *Refusal {
-	return &Refusal{code: core.CodeDraining, detail: "the entry VM is stopping"}
-}
-
-func (que *Queue) ticket(id uint64, ver verdict) (*Ticket, error) {
+func (que *Queue) ticket(id uint64, job core.Job, ver verdict) (*Ticket, error) {
 	if ver.err != nil {
 		return nil, ver.err
 	}
-	return &Ticket{que: que, id: id}, nil
+	return &Ticket{que: que, id: id, plain: job.Service != ""}, nil
 }
 
 // offer runs in the task.
@@ -152,11 +125,9 @@
 // Tokens are estimated by the length of the text.
 const bytesPerToken = 4
 
-// Cost returns a job's expected size in tokens: those of its prompt, or of
-// its body, and those that it may generate.
-func Cost(job core.Job) float64 {
-	return 1 + float64(len(job.Prompt)+len(job.Body))/bytesPerToken + float64(job.MaxTokens)
-}
+// Cost returns a job's expected size in generated tokens, 1 for a call of a
+// plain service.
+func Cost(job core.Job) float64 { return max(1, float64(job.MaxTokens)) }
 
 // PromptWork is the work of one prompt token, where that of a generated token
 // is 1.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,7 +42,7 @@
 }
 
 // verdict is the answer to a waiting Enter.
-type verdict struct{ err *Refusal }
+type verdict struct{ err *core.Error }
 
 // view is what Usage and Stats show, as of the last check.
 type view struct {
@@ -143,7 +143,7 @@
 }
 
 // answer panics if the job doesn't wait, since a job gets one answer.
-func (que *Queue) answer(id uint64, err *Refusal) {
+func (que *Queue) answer(id uint64, err *core.Error) {
 	ans, ok := que.waits[id]
 	if !ok {
 		panic(fmt.Sprintf("queue: answer to job %d, which does not wait", id))
@@ -152,7 +152,7 @@
 	if err == nil {
 		que.counts.Admitted++
 	} else {
-		que.counts.Refused[err.code]++
+		que.counts.Refused[err.Code()]++
 	}
 	ans <- verdict{err: err}
 }
@@ -180,6 +180,11 @@
 	})
 }
 
+// SetDepth bounds how many jobs of a class may wait.
+func (que *Queue) SetDepth(class core.ModelName, depth int) {
+	que.send(func() { que.mac.SetDepth(class, depth) })
+}
+
 // SetOrg sets an organisation's limits.
 func (que *Queue) SetOrg(name core.OrgName, lim admit.OrgLimits) {
 	que.send(func() { que.mac.SetOrg(name, lim) })
