Make the queue's tests catch a leaked wait and an unbounded depth

Change: each job's end is counted once, checked after every case of a waiting job; the depth's test is bounded; a plain call's time is proved to count. Seen to fail: TestEnterAnswers and TestManyCallers with the entry kept, TestDepth with the depth ignored, TestPlainService with a plain call's zero tokens passed on.

--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,8 @@
 			}
 			tt.end(que, first, leave, stop)
 			assert.Equal(t, core.CodeOf(<-got), tt.want)
+			stop()
+			conserved(t, que)
 		})
 	}
 }
@@ -120,7 +123,9 @@
 	que.SetDepth("m", 0)
 	_, err := que.Enter(context.Background(), core.Job{Model: "m"})
 	assert.NilError(t, err)
-	_, err = que.Enter(context.Background(), core.Job{Model: "m"})
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	_, err = que.Enter(ctx, core.Job{Model: "m"})
 	assert.Equal(t, core.CodeOf(err), core.CodeQueueFull)
 }
 
@@ -166,6 +171,13 @@
 		assert.NilError(t, err)
 	}
 	stop()
+	conserved(t, que)
+}
+
+// conserved wants each job that entered to be counted once. The Queue must
+// have stopped.
+func conserved(t *testing.T, que *queue.Queue) {
+	t.Helper()
 	cnt := que.Counts()
 	sum := cnt.Admitted + cnt.Cancelled
 	for _, num := range cnt.Refused {
@@ -174,6 +186,32 @@
 	assert.Equal(t, cnt.Entered, sum)
 }
 
+// TestPlainService wants the time of a plain call to count in the estimate of
+// the next, though it generates no tokens.
+func TestPlainService(t *testing.T) {
+	var late atomic.Bool
+	now := time.Now()
+	que, _ := start(t, queue.Config{Clock: func() time.Time {
+		if late.Load() {
+			return now.Add(10 * time.Second)
+		}
+		return now
+	}})
+	job := core.Job{Service: "fees"}
+	que.SetCapacity(queue.Class(job), 1)
+	tkt, err := que.Enter(context.Background(), job)
+	assert.NilError(t, err)
+	late.Store(true)
+	tkt.Done(0)
+	_, err = que.Enter(context.Background(), job)
+	assert.NilError(t, err)
+	job.Deadline = now.Add(15 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	_, err = que.Enter(ctx, job)
+	assert.Equal(t, core.CodeOf(err), core.CodeDeadline)
+}
+
 func TestClassAndCost(t *testing.T) {
 	assert.Equal(t, queue.Class(core.Job{Model: "m"}), core.ModelName("m"))
 	assert.Equal(t, queue.Class(core.Job{Service: "fees"}), core.ModelName("plain/fees"))
