Drive a running entry VM or engine and measure its answers

Cause: the added latency of an entry VM has to be measured against the engine itself, in one run. Conclusion: no figures of the real processes are taken yet.

--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -1,5 +1,6 @@
 // Command exper measures admission and the choice of a group on recorded
-// arrivals against simple policies.
+// arrivals against simple policies. Its command press drives a running entry
+// VM or model engine instead and measures the times of its answers.
 package main
 
 import (
@@ -31,12 +32,20 @@
 
 func main() {
 	var opt options
-	if _, err := flags.Parse(&opt); err != nil {
+	psr := flags.NewParser(&opt, flags.Default)
+	psr.SubcommandsOptional = true
+	if _, err := psr.AddCommand("press", "drive a running entry VM", "", &pressCommand{}); err != nil {
+		panic(err)
+	}
+	if _, err := psr.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return
 		}
 		os.Exit(2)
 	}
+	if psr.Active != nil {
+		return
+	}
 	if err := run(&opt, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
