Drive real processes with kills and freezes

Cause: at-most-once was proved inside one process only. Found: a resend of a charge whose holder was killed or frozen was told 'in progress' for the whole window, so that its caller never learned more (four cases timed out after 60 s). Change: a claim whose holder is not heard of, or runs as another process, is answered as 'ran at most once, outcome unknown'; a holder that wakes still records its result. The harness can run entry VMs as processes, which log the addresses that the system chose for them. Ruled out: fixed ports for the processes; one of ten runs failed when another process took a port in between. Seen to fail: without claims the service counts two runs of a charge in all cases that lived to the count. Conclusion: kills, freezes and lost answers of the log don't double a charge.

--- a/node/beat.go
+++ b/node/beat.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,17 @@
 	return out
 }
 
+// runs reports whether the process that wrote the record is live. The IDs of
+// records that claim requests contain the run of their writer.
+func (cir *circle) runs(nod core.NodeName, rec core.RecordID) bool {
+	for _, bea := range cir.live {
+		if bea.Node == nod {
+			return strings.Contains(string(rec), string(bea.Run))
+		}
+	}
+	return false
+}
+
 // beater is the task that exchanges beats with other entry VMs.
 type beater struct {
 	self    func() core.Beat
--- a/node/build.go
+++ b/node/build.go
@@ -175,7 +175,7 @@
 		Gate:      inp.Gate,
 		Chooser:   &chooser{rtr: route.New(route.Config{})},
 		Backends:  jbs,
-		Claims:    claims{sto: inp.Store},
+		Claims:    claims{sto: inp.Store, bet: inp.Beater},
 		Forwarder: jbs,
 		Policy:    jbs.policy,
 		Now:       inp.Now,
--- a/node/claims.go
+++ b/node/claims.go
@@ -13,6 +13,7 @@
 // claims gives requests that must not be repeated access to the store.
 type claims struct {
 	sto *store.Store
+	bet *beater
 }
 
 var _ serve.Claims = claims{}
@@ -37,10 +38,11 @@
 		return serve.Claim{}, false, err
 	}
 	out := serve.Claim{
-		Record: clm.Record,
-		Offset: clm.Offset,
-		Holder: clm.Holder,
-		Digest: clm.Digest,
+		Record:     clm.Record,
+		Offset:     clm.Offset,
+		Holder:     clm.Holder,
+		Digest:     clm.Digest,
+		HolderGone: !cla.bet.circle().runs(clm.Holder, clm.Record),
 	}
 	if clm.Outcome != nil {
 		out.Done = true
--- a/node/config.go
+++ b/node/config.go
@@ -36,12 +36,13 @@
 	KeyHash string `json:"key_hash" validate:"required,len=64,hexadecimal,lowercase"`
 }
 
-// Listen has the addresses that the daemon listens on, as IP:port.
+// Listen has the addresses that the daemon listens on, as IP:port. Port 0 lets
+// the system choose.
 type Listen struct {
-	Callers   string `json:"callers" validate:"required,hostname_port"`
-	Operators string `json:"operators" validate:"required,hostname_port"`
-	Peers     string `json:"peers" validate:"required,hostname_port"`
-	Metrics   string `json:"metrics" validate:"required,hostname_port"`
+	Callers   string `json:"callers" validate:"required,tcp_addr"`
+	Operators string `json:"operators" validate:"required,tcp_addr"`
+	Peers     string `json:"peers" validate:"required,tcp_addr"`
+	Metrics   string `json:"metrics" validate:"required,tcp_addr"`
 }
 
 // TLS names the PEM files of the node's key and certificate and of the
--- a/node/node.go
+++ b/node/node.go
@@ -74,7 +74,16 @@
 	}
 	nod.addServers(&grp, nod.lis)
 	grp.Add(func() error { return nod.stop(ctx) }, func(error) {})
-	nod.log.WithFields(logrus.Fields{"event": "start", "node": nod.cfg.Node, "zone": nod.cfg.Zone}).Info("node started")
+	adr := nod.Addrs()
+	nod.log.WithFields(logrus.Fields{
+		"event":     "start",
+		"node":      nod.cfg.Node,
+		"zone":      nod.cfg.Zone,
+		"callers":   adr.Callers,
+		"operators": adr.Operators,
+		"peers":     adr.Peers,
+		"metrics":   adr.Metrics,
+	}).Info("node started")
 	err := grp.Run()
 	nod.log.WithFields(logrus.Fields{"event": "stop", "node": nod.cfg.Node, "code": core.CodeOf(err)}).Info("node stopped")
 	return err
--- a/node/nodets/system.go
+++ b/node/nodets/system.go
@@ -1,22 +1,17 @@
 package nodets
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"kumquathinge/core"
-	"kumquathinge/node"
 	"kumquathinge/stand"
 )
 
@@ -45,21 +40,13 @@
 	Groups map[string]core.Zone
 	// Settings are applied beside the default ones, by path and key.
 	Settings map[string]map[string]any
+	// Program is the daemon's program. If it is set, each entry VM is a
+	// process of its own, which a test can kill and freeze but not cut off.
+	Program string
 	// Verbose writes the log of the entry VMs to the test's output.
 	Verbose bool
 }
 
-// Member is an entry VM of a System.
-type Member struct {
-	Name  core.NodeName
-	Zone  core.Zone
-	Node  *node.Node
-	Addrs node.Listen
-
-	stop context.CancelFunc
-	done chan error
-}
-
 // System is a set of entry VMs and stand-ins.
 type System struct {
 	Log     *stand.Log
@@ -155,55 +142,6 @@
 	})
 }
 
-// AddMember starts an entry VM.
-func (sys *System) AddMember(nam core.NodeName, zon core.Zone) *Member {
-	sys.tst.Helper()
-	var seeds []string
-	for _, mem := range sys.Members {
-		seeds = append(seeds, mem.Addrs.Peers)
-	}
-	any := "127.0.0.1:0"
-	log := logrus.New()
-	if !sys.cfg.Verbose {
-		log.SetOutput(io.Discard)
-	}
-	nod, err := node.Build(node.Config{
-		Node:   nam,
-		Zone:   zon,
-		Listen: node.Listen{Callers: any, Operators: any, Peers: any, Metrics: any},
-		Log:    sys.Log.Addr(),
-		VMs:    sys.List.Addr(),
-		Seeds:  seeds,
-	}, log,
-		node.WithLog(newCutLog(sys.Log.Addr(), sys.cuts, zon)),
-		node.WithLister(newCutLister(sys.List.Addr(), sys.cuts, zon)),
-		node.WithPeerDialer(func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return sys.cuts.dial(ctx, zon, network, addr)
-		}),
-	)
-	assert.NilError(sys.tst, err)
-	sys.cuts.listens(nod.Addrs().Peers, zon)
-	ctx, cancel := context.WithCancel(context.Background())
-	mem := &Member{Name: nam, Zone: zon, Node: nod, Addrs: nod.Addrs(), stop: cancel, done: make(chan error, 1)}
-	go func() { mem.done <- nod.Run(ctx) }()
-	sys.Members = append(sys.Members, mem)
-	sys.tst.Cleanup(func() {
-		mem.stop()
-		_ = mem.Wait()
-	})
-	return mem
-}
-
-// Stop begins the planned stop of an entry VM.
-func (mem *Member) Stop() { mem.stop() }
-
-// Wait waits until the entry VM has stopped and returns what it ended with.
-func (mem *Member) Wait() error {
-	err := <-mem.done
-	mem.done <- err
-	return err
-}
-
 // configure applies the settings.
 func (sys *System) configure() {
 	sys.tst.Helper()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -39,7 +39,8 @@
 }
 
 // Claim is what the log's fold knows of a key. Done is set once an outcome is
-// recorded. HolderGone may be set if the holder's process has surely ended.
+// recorded. HolderGone may be set if the holder's process has ended or is not
+// heard of: a resend is then told that the request ran at most once.
 type Claim struct {
 	Record     core.RecordID
 	Offset     core.Offset
