--- a/stand/engine_test.go
+++ b/stand/engine_test.go
@@ -33,6 +33,14 @@
 	return cli.Post(url, "application/json", bytes.NewReader(raw))
 }
 
+func get(t *testing.T, url string, out any) {
+	t.Helper()
+	res, err := http.Get(url)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	assert.NilError(t, json.NewDecoder(res.Body).Decode(out))
+}
+
 func load(t *testing.T, eng *stand.Engine, url string, num core.Offset) {
 	t.Helper()
 	ord := core.Order{Number: num, Action: core.ActionLoad, Group: "g", Members: []core.VMName{"vm-1"}}
