--- a/core/route/router.go
+++ b/core/route/router.go
@@ -42,6 +42,7 @@
 	holds   *index
 	views   []view    // reused by Choose
 	floats  []float64 // reused by Choose
+	ints    []int     // reused by Choose
 	lastUse uint64
 }
 
@@ -72,7 +73,7 @@
 	if len(cands) == 0 {
 		return -1
 	}
-	rtr.look(cands, now)
+	rtr.look(cands)
 	idx := rtr.pick(blocks, rnd)
 	grp := rtr.views[idx].grp
 	grp.sent(1, now)
@@ -92,7 +93,7 @@
 }
 
 // look fills views with what is known of the candidates.
-func (rtr *Router) look(cands []core.Candidate, now time.Time) {
+func (rtr *Router) look(cands []core.Candidate) {
 	rtr.views = rtr.views[:0]
 	for idx := range cands {
 		cnd := &cands[idx]
@@ -101,7 +102,7 @@
 		wide := max(1, float64(cnd.Capacity))
 		rtr.views = append(rtr.views, view{
 			grp:  grp,
-			load: grp.estimate(cnd, now) / wide,
+			load: grp.estimate(cnd) / wide,
 			cap:  wide,
 		})
 	}
@@ -132,11 +133,12 @@
 // draw returns the least loaded of a few candidates drawn at random.
 // Stragglers take part once the others are full.
 func (rtr *Router) draw(tot total, rnd uint64) int {
+	pool := rtr.eligible(tot.load >= tot.cap)
 	best := -1
 	state := rnd
 	for left := rtr.cfg.Choices; left > 0; left-- {
 		state = mix(state + golden)
-		idx := rtr.skipSlow(int(state%uint64(len(rtr.views))), tot)
+		idx := pool[state%uint64(len(pool))]
 		if best < 0 || rtr.views[idx].load < rtr.views[best].load {
 			best = idx
 		}
@@ -144,16 +146,16 @@
 	return best
 }
 
-// skipSlow returns the first index from idx on, around the end, that isn't a
-// straggler while the others have room.
-func (rtr *Router) skipSlow(idx int, tot total) int {
-	if tot.load >= tot.cap {
-		return idx
-	}
-	for rtr.views[idx].slow {
-		idx = (idx + 1) % len(rtr.views)
+// eligible returns the indices of all views, or of those that aren't
+// stragglers.
+func (rtr *Router) eligible(all bool) []int {
+	rtr.ints = rtr.ints[:0]
+	for idx := range rtr.views {
+		if all || !rtr.views[idx].slow {
+			rtr.ints = append(rtr.ints, idx)
+		}
 	}
-	return idx
+	return rtr.ints
 }
 
 // Served tells that a request that Choose placed ended well, after the
@@ -237,3 +239,14 @@
 		*val = def
 	}
 }
+
+// Size is how much a Router remembers.
+type Size struct {
+	Groups int
+	Blocks int
+}
+
+// Size returns the numbers of groups and prefix blocks remembered.
+func (rtr *Router) Size() Size {
+	return Size{Groups: len(rtr.groups), Blocks: len(rtr.holds.young) + len(rtr.holds.old)}
+}
--- a/core/tail/snapshot.go
+++ b/core/tail/snapshot.go
@@ -16,19 +16,26 @@
 type snapshotter struct {
 	since  time.Time
 	rest   time.Time
+	busy   bool
+	whole  core.Offset
+	chunk  int
+	other  int
+	size   int
 	chunks []*batch
 	at     core.Offset
 }
 
-// snapshotDue reports whether the log needs a newer snapshot: after so many
-// entries, or when the last one is in the older half of what the log keeps.
+// snapshotDue reports whether the log needs a newer snapshot: when the last
+// one is in the older half of what the log keeps, or after so many entries
+// with as many bytes as the last one, so that snapshots at most double what
+// every reader reads.
 func (fol *Follower) snapshotDue() bool {
 	tim := fol.cfg.Timings
 	off, last := fol.sta.Offset(), fol.sta.SnapshotAt()
 	if off < last+tim.SnapshotMin || !fol.log.ok || !fol.ready || fol.gap != 0 || off+1 < fol.log.next {
 		return false
 	}
-	if off >= last+tim.SnapshotEvery {
+	if off >= last+tim.SnapshotEvery && fol.snaps.other >= fol.snaps.size {
 		return true
 	}
 	return fol.log.first > 1 && last < fol.log.first+(off-fol.log.first)/2
@@ -40,6 +47,9 @@
 		snp.abandon(fol.sta.SnapshotAt())
 		return
 	}
+	if snp.busy {
+		return
+	}
 	if !fol.snapshotDue() {
 		snp.since = time.Time{}
 		return
@@ -55,19 +65,26 @@
 		return
 	}
 	snp.since = time.Time{}
-	snp.at = fol.sta.Offset()
-	for _, chk := range Chunks(fol.sta, fol.cfg.Timings.ChunkBytes) {
-		snp.chunks = append(snp.chunks, fol.chunkBatch(chk))
+	snp.busy = true
+	fol.do(Encode{Image: fol.sta.Image()})
+}
+
+// encoded starts the writing of the snapshot.
+func (fol *Follower) encoded(evt Encoded) {
+	fol.snaps.busy = false
+	fol.snaps.at = evt.At
+	for _, chk := range Chunks(evt.At, evt.Data, fol.cfg.Timings.ChunkBytes) {
+		fol.snaps.chunks = append(fol.snaps.chunks, fol.chunkBatch(chk))
 	}
 }
 
-// Chunks returns the encoded state in chunks of at most size bytes.
-func Chunks(sta *fold.State, size int) []recd.Snapshot {
-	data := sta.Encode()
+// Chunks returns the encoded state at an offset in chunks of at most size
+// bytes.
+func Chunks(at core.Offset, data []byte, size int) []recd.Snapshot {
 	sum := xxhash.Sum64(data)
 	var out []recd.Snapshot
 	for part := range slices.Chunk(data, size) {
-		out = append(out, recd.Snapshot{At: sta.Offset(), Hash: sum, Part: len(out), Data: part})
+		out = append(out, recd.Snapshot{At: at, Hash: sum, Part: len(out), Data: part})
 	}
 	for idx := range out {
 		out[idx].Parts = len(out)
@@ -103,6 +120,23 @@
 	return xxhash.Sum64(append(buf, nod...))
 }
 
+// count adds up the bytes of the log since the last whole snapshot, those of
+// snapshots apart.
+func (snp *snapshotter) count(size int, vers []fold.Verdict, whole core.Offset) {
+	isChunk := len(vers) > 0 && vers[0].Kind == fold.KindSnapshot
+	if isChunk {
+		snp.chunk += size
+	} else {
+		snp.other += size
+	}
+	if whole > snp.whole {
+		snp.whole = whole
+		snp.size = snp.chunk
+		snp.chunk = 0
+		snp.other = 0
+	}
+}
+
 // snapshotSeen starts the wait anew when a chunk of a snapshot appears: its
 // writer is at work.
 func (fol *Follower) snapshotSeen(ver fold.Verdict) {
--- a/node/build.go
+++ b/node/build.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"expvar"
 	"math/rand/v2"
 	"time"
@@ -40,13 +41,19 @@
 // metricsName is the name of the node's expvar map.
 const metricsName = "kumquathinge"
 
-// Build wires a node. Its error has the provider that failed.
-func Build(cfg Config, log *logrus.Logger) (*Node, error) {
+// Build wires a node and opens its sockets. Its error carries
+// core.CodeListenFailed if an address can't be listened on, and
+// core.CodeConfigInvalid for a wrong operator.
+func Build(cfg Config, log *logrus.Logger, opts ...Option) (*Node, error) {
+	var opt options
+	for _, set := range opts {
+		set(&opt)
+	}
 	con := dig.New()
 	for _, prv := range []any{
-		func() (Config, *logrus.Logger) { return cfg, log },
+		func() (Config, *logrus.Logger, options) { return cfg, log, opt },
 		func() func() time.Time { return time.Now },
-		newMetrics, newStopper, newFacts, newPlatform, newListTask, newBeatTask,
+		newMetrics, newStopper, newListeners, newFacts, newPlatform, newListTask, newBeatTask,
 		newStore, newWorlds, newGate, newProbeTask, newQueue, newJobs,
 		newControl, newLimiter, newFront, newAdmin, newOperators, newNode,
 	} {
@@ -56,25 +63,34 @@
 	}
 	var nod *Node
 	err := con.Invoke(func(got *Node) { nod = got })
-	return nod, eris.Wrap(err, "wiring")
+	if err != nil {
+		return nil, eris.Wrap(dig.RootCause(err), "wiring")
+	}
+	return nod, nil
 }
 
 // newMetrics returns the node's map of counters.
 func newMetrics() *expvar.Map { return new(expvar.Map).Init() }
 
 // newFacts returns what the start file says of the node.
-func newFacts(cfg Config) *facts {
+func newFacts(cfg Config, lis *listeners) *facts {
 	return &facts{base: core.Beat{
 		Node: cfg.Node,
 		Zone: cfg.Zone,
-		Addr: cfg.Listen.Peers,
+		Addr: cmp.Or(cfg.Advertise, lis.peers.Addr().String()),
 		Run:  core.Incarnation(uuid.NewString()),
 	}}
 }
 
 // newPlatform returns the clients of the platform's services.
-func newPlatform(cfg Config) (core.Log, core.Lister) {
-	return logs.New("http://" + cfg.Log), vms.New(cfg.VMs)
+func newPlatform(cfg Config, opt options) (core.Log, core.Lister) {
+	if opt.log == nil {
+		opt.log = logs.New("http://" + cfg.Log)
+	}
+	if opt.lister == nil {
+		opt.lister = vms.New(cfg.VMs)
+	}
+	return opt.log, opt.lister
 }
 
 // newListTask returns the task that follows the VM list.
@@ -83,8 +99,8 @@
 }
 
 // newBeatTask returns the task that exchanges beats.
-func newBeatTask(cfg Config, fac *facts, lst *lister, log *logrus.Logger, now func() time.Time) *beater {
-	return newBeater(fac.beat, fac.merge, lst, cfg.Seeds, log, now)
+func newBeatTask(cfg Config, opt options, fac *facts, lst *lister, log *logrus.Logger, now func() time.Time) *beater {
+	return newBeater(fac.beat, fac.merge, lst, cfg.Seeds, opt.dial, log, now)
 }
 
 // newStore returns the task that owns the folded state.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	Admit admit.Config
 	Clock func() time.Time       // time.Now if nil
 	Cost  func(core.Job) float64 // Cost if nil; must return a positive number
+	Work  func(core.Job) float64 // Work if nil; must return a positive number
 	Tick  time.Duration          // DefaultTick if zero
 }
 
@@ -28,6 +30,7 @@
 type Queue struct {
 	clock  func() time.Time
 	cost   func(core.Job) float64
+	work   func(core.Job) float64
 	tick   time.Duration
 	mac    *admit.Machine
 	msgs   chan func()
@@ -39,7 +42,7 @@
 }
 
 // verdict is the answer to a waiting Enter.
-type verdict struct{ err *Refusal }
+type verdict struct{ err *core.Error }
 
 // view is what Usage and Stats show, as of the last check.
 type view struct {
@@ -65,12 +68,16 @@
 	if cfg.Cost == nil {
 		cfg.Cost = Cost
 	}
+	if cfg.Work == nil {
+		cfg.Work = Work
+	}
 	if cfg.Tick <= 0 {
 		cfg.Tick = DefaultTick
 	}
 	que := &Queue{
 		clock:  cfg.Clock,
 		cost:   cfg.Cost,
+		work:   cfg.Work,
 		tick:   cfg.Tick,
 		mac:    admit.New(cfg.Admit),
 		msgs:   make(chan func(), messageBuffer),
@@ -107,8 +114,8 @@
 }
 
 func (que *Queue) close() {
-	for id, ans := range que.waits {
-		que.answer(id, ans, draining())
+	for id := range que.waits {
+		que.answer(id, draining())
 	}
 	close(que.stop)
 	que.publish()
@@ -128,19 +135,24 @@
 	for _, act := range acts {
 		switch act := act.(type) {
 		case admit.Admit:
-			que.answer(act.ID, que.waits[act.ID], nil)
+			que.answer(act.ID, nil)
 		case admit.Refuse:
-			que.answer(act.ID, que.waits[act.ID], refusal(act))
+			que.answer(act.ID, refusal(act))
 		}
 	}
 }
 
-func (que *Queue) answer(id uint64, ans chan<- verdict, err *Refusal) {
+// answer panics if the job doesn't wait, since a job gets one answer.
+func (que *Queue) answer(id uint64, err *core.Error) {
+	ans, ok := que.waits[id]
+	if !ok {
+		panic(fmt.Sprintf("queue: answer to job %d, which does not wait", id))
+	}
 	delete(que.waits, id)
 	if err == nil {
 		que.counts.Admitted++
 	} else {
-		que.counts.Refused[err.code]++
+		que.counts.Refused[err.Code()]++
 	}
 	ans <- verdict{err: err}
 }
@@ -168,6 +180,11 @@
 	})
 }
 
+// SetDepth bounds how many jobs of a class may wait.
+func (que *Queue) SetDepth(class core.ModelName, depth int) {
+	que.send(func() { que.mac.SetDepth(class, depth) })
+}
+
 // SetOrg sets an organisation's limits.
 func (que *Queue) SetOrg(name core.OrgName, lim admit.OrgLimits) {
 	que.send(func() { que.mac.SetOrg(name, lim) })
