Try deadlines again once half of the slots are free

Cause: the estimate of the service time follows only what runs. After a slow spell it refused all deadlines but one at a time on an idle model: of 159 requests in the 20 s after service was fast again, 19 met a deadline of ten times their service (TestEstimateRecovers, seen to fail before the change). Change: while half of the slots are free and nothing waits, only a passed deadline refuses.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -293,6 +293,21 @@
 	assert.Equal(t, srv.answer(late), "105", "it needs a second")
 }
 
+// TestEstimateRecovers runs slow items, so that no deadline seems to be
+// possible, and wants the estimate to follow once service is fast again.
+func TestEstimateRecovers(t *testing.T) {
+	const slots, secs = 8, 20
+	srv := newServer(t, admit.Config{}, slots)
+	srv.speed = 1
+	for range 3 * slots {
+		srv.offer(admit.Item{Org: "a"})
+	}
+	srv.run(5 * time.Minute)
+	srv.speed = 100
+	srv.feed(secs*time.Second, stream{org: "b", every: time.Second / slots, deadline: 10 * time.Second})
+	assert.Assert(t, srv.met["b"] >= slots*secs/2, "%d of %d met", srv.met["b"], srv.offered["b"])
+}
+
 // TestPassed wants an item refused soon after others have come before it, not
 // when its service would have to begin.
 func TestPassed(t *testing.T) {
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -68,15 +68,15 @@
 	return itm.Deadline
 }
 
-// late returns the refusal of an item that can't end before its deadline. An
-// idle model takes any item whose deadline is still to come, so that an
-// estimate that is too high gets corrected.
+// late returns the refusal of an item that can't end before its deadline. A
+// model with spare slots takes any item whose deadline is still to come, so that
+// an estimate that is too high gets corrected.
 func (mac *Machine) late(pol *pool, flw *flow, itm Item, now time.Time) (Refuse, bool) {
 	if itm.Deadline.IsZero() {
 		return Refuse{}, false
 	}
 	left := itm.Deadline.Sub(now)
-	if left > 0 && pol.running == 0 && pol.waiting == 0 {
+	if left > 0 && pol.spare() && pol.waiting == 0 {
 		return Refuse{}, false
 	}
 	ahead := flw.ahead(itm.Priority)
@@ -127,13 +127,13 @@
 }
 
 // expired reports whether a waiting item can't end before its deadline. While
-// nothing runs, only the deadline itself counts.
+// slots are spare, only the deadline itself counts.
 func (mac *Machine) expired(ent *entry, now time.Time) bool {
 	if ent.item.Deadline.IsZero() {
 		return false
 	}
 	left := ent.item.Deadline.Sub(now)
-	if ent.pool.running == 0 {
+	if ent.pool.spare() {
 		return left <= 0
 	}
 	return seconds(ent.pool.service(ent.item.Work)) >= left
@@ -236,7 +236,7 @@
 // passed reports whether a waiting item with so much work ahead of it can't
 // end before its deadline.
 func (mac *Machine) passed(ent *entry, ahead float64, now time.Time) bool {
-	if ent.item.Deadline.IsZero() || ent.pool.running == 0 {
+	if ent.item.Deadline.IsZero() || ent.pool.spare() {
 		return false
 	}
 	need := ent.pool.delay(ent.flow, ahead) + ent.pool.service(ent.item.Work)
--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -176,6 +176,9 @@
 	return best
 }
 
+// spare reports whether at least half of the slots are free.
+func (pol *pool) spare() bool { return 2*pol.running < pol.slots || pol.running == 0 }
+
 // observe takes in how long an item ran.
 func (pol *pool) observe(work float64, dur time.Duration, gain float64) {
 	if pol.meanWork == 0 {
