Size resumed jobs by what is left of them

Cause: a resumed stream counted the tokens that its caller has already, and a negative number of tokens would have become negative work. Change: cost and work go by the tokens still to come, and are never negative; admission panics on negative work.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -403,6 +403,8 @@
 	mac.Offer(admit.Item{ID: 1, Cost: 1}, t0)
 	tests := map[string]func(){
 		"cost":     func() { mac.Offer(admit.Item{ID: 2}, t0) },
+		"work":     func() { mac.Offer(admit.Item{ID: 2, Cost: 1, Work: -1}, t0) },
+		"depth":    func() { mac.SetDepth("m", -1) },
 		"twice":    func() { mac.Offer(admit.Item{ID: 1, Cost: 1}, t0) },
 		"done":     func() { mac.Done(1, 1, t0) },
 		"capacity": func() { mac.SetCapacity("m", -1) },
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -28,10 +28,11 @@
 }
 
 // Offer takes in an item and returns the actions that follow, for this item
-// or others. Offer panics if the cost is not positive or the ID is in use.
+// or others. Offer panics if the cost is not positive, the work is negative or
+// the ID is in use.
 func (mac *Machine) Offer(itm Item, now time.Time) []Action {
-	if !(itm.Cost > 0) {
-		panic(fmt.Sprintf("admit: cost %v of item %d", itm.Cost, itm.ID))
+	if !(itm.Cost > 0) || !(itm.Work >= 0) {
+		panic(fmt.Sprintf("admit: cost %v and work %v of item %d", itm.Cost, itm.Work, itm.ID))
 	}
 	if _, ok := mac.entries[itm.ID]; ok {
 		panic(fmt.Sprintf("admit: item %d offered twice", itm.ID))
--- a/queue/enter.go
+++ b/queue/enter.go
@@ -127,7 +127,11 @@
 
 // Cost returns a job's expected size in generated tokens, 1 for a call of a
 // plain service.
-func Cost(job core.Job) float64 { return max(1, float64(job.MaxTokens)) }
+func Cost(job core.Job) float64 { return max(1, float64(tokens(job))) }
+
+// tokens returns how many tokens a job may still generate: a resumed one has
+// some already.
+func tokens(job core.Job) int { return max(0, job.MaxTokens-max(0, job.From)) }
 
 // PromptWork is the work of one prompt token, where that of a generated token
 // is 1.
@@ -136,5 +140,5 @@
 // Work returns a job's expected size as the backend servers feel it.
 func Work(job core.Job) float64 {
 	prompt := float64(len(job.Prompt)+len(job.Body)) / bytesPerToken
-	return 1 + prompt*PromptWork + float64(job.MaxTokens)
+	return 1 + prompt*PromptWork + float64(tokens(job))
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -212,10 +212,26 @@
 	assert.Equal(t, core.CodeOf(err), core.CodeDeadline)
 }
 
-func TestClassAndCost(t *testing.T) {
-	assert.Equal(t, queue.Class(core.Job{Model: "m"}), core.ModelName("m"))
-	assert.Equal(t, queue.Class(core.Job{Service: "fees"}), core.ModelName("plain/fees"))
-	assert.Equal(t, queue.Cost(core.Job{Prompt: "12345678", MaxTokens: 4}), 4.0)
-	assert.Equal(t, queue.Cost(core.Job{Service: "fees"}), 1.0)
-	assert.Equal(t, queue.Work(core.Job{Prompt: string(make([]byte, 128)), MaxTokens: 4}), 6.0)
+// TestSizes lists jobs with their class, cost and work.
+func TestSizes(t *testing.T) {
+	tests := []struct {
+		name  string
+		job   core.Job
+		class core.ModelName
+		cost  float64
+		work  float64
+	}{
+		{"completion", core.Job{Model: "m", Prompt: string(make([]byte, 128)), MaxTokens: 4}, "m", 4, 6},
+		{"resumed", core.Job{Model: "m", MaxTokens: 100, From: 60}, "m", 40, 41},
+		{"resumed at the end", core.Job{Model: "m", MaxTokens: 100, From: 100}, "m", 1, 1},
+		{"out of range", core.Job{Model: "m", MaxTokens: -5, From: -9}, "m", 1, 1},
+		{"plain call", core.Job{Service: "fees", Body: make([]byte, 256)}, "plain/fees", 1, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, queue.Class(tt.job), tt.class)
+			assert.Equal(t, queue.Cost(tt.job), tt.cost)
+			assert.Equal(t, queue.Work(tt.job), tt.work)
+		})
+	}
 }
