--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
@@ -18,16 +19,19 @@
 
 // options are the command line.
 type options struct {
-	Arrivals string    `long:"arrivals" default:"model/trial/testdata/arrivals.jsonl" description:"recorded arrivals, JSON lines"`
-	Load     []float64 `long:"load" description:"times the capacity; may be given again (0.8, 1 and 1.5 if not given)"`
-	Policy   []string  `long:"policy" description:"name of a policy; may be given again (all if not given)"`
-	Slow     float64   `long:"slow" default:"1" description:"slowness of one group; 1 for none"`
-	Orgs     bool      `long:"orgs" description:"print a line for each organisation too"`
-	JSON     string    `long:"json" description:"file for the results"`
-	Plots    string    `long:"plots" description:"directory for plots"`
-	Generate int       `long:"generate" description:"write so many new arrivals to the file and exit"`
-	Rate     float64   `long:"rate" default:"6.5" description:"arrivals per second with --generate"`
-	Seed     uint64    `long:"seed" default:"1" description:"seed of --generate"`
+	Arrivals string        `long:"arrivals" default:"model/trial/testdata/arrivals.jsonl" description:"recorded arrivals, JSON lines"`
+	Load     []float64     `long:"load" description:"times the capacity; may be given again (0.8, 1 and 1.5 if not given)"`
+	Policy   []string      `long:"policy" description:"name of a policy; may be given again (all if not given)"`
+	Slow     float64       `long:"slow" default:"1" description:"slowness of one group; 1 for none"`
+	Cache    int           `long:"cache" default:"1200" description:"prefix blocks that a group keeps"`
+	Loss     float64       `long:"loss" default:"0.1" description:"part of the cache events that get lost"`
+	Lag      time.Duration `long:"lag" default:"700ms" description:"lag of the cache events"`
+	Orgs     bool          `long:"orgs" description:"print a line for each organisation too"`
+	JSON     string        `long:"json" description:"file for the results"`
+	Plots    string        `long:"plots" description:"directory for plots"`
+	Generate int           `long:"generate" description:"write so many new arrivals to the file and exit"`
+	Rate     float64       `long:"rate" default:"6.5" description:"arrivals per second with --generate"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of --generate"`
 }
 
 func main() {
@@ -108,6 +112,7 @@
 		loads = []float64{0.8, 1, 1.5}
 	}
 	zone := trial.Zone(opt.Slow)
+	zone.CacheBlocks, zone.EventLoss, zone.EventLag = opt.Cache, opt.Loss, opt.Lag
 	capacity := trial.Measure(zone, arrs)
 	_, _ = fmt.Fprintf(out, "%d arrivals, capacity %.2f requests/s, %.0f tokens/s\n",
 		len(arrs), capacity.Requests, capacity.Tokens)
