Let prefix affinity yield at 1.1 times the mean load

Cause: at 1.25 times the mean load and groups that are nearly full, requests queued in a group for its prefixes while others had free slots. Change: the default load bound is 1.1.

--- a/core/route/router.go
+++ b/core/route/router.go
@@ -10,7 +10,7 @@
 // Defaults of Config.
 const (
 	DefaultChoices    = 2
-	DefaultLoadBound  = 1.25
+	DefaultLoadBound  = 1.1
 	DefaultHolders    = 3
 	DefaultMaxBlocks  = 1 << 16
 	DefaultMaxGroups  = 1024
