--- a/cmd/exper/plot.go
+++ b/cmd/exper/plot.go
@@ -55,6 +55,7 @@
 	plt.Title.Text = cht.title
 	plt.X.Label.Text = "load, times the capacity"
 	plt.Y.Min, plt.Y.Max = 0, 1
+	plt.Legend.Left = true
 	var args []any
 	for _, name := range names(results) {
 		var pts plotter.XYs
