--- a/core/repair/input.go
+++ b/core/repair/input.go
@@ -75,11 +75,14 @@
 }
 
 // Send asks for an order to be sent to an engine. The sender must hold
-// Request against order.May right before the send.
+// Request against order.May right before the send. Confirmed is that of the
+// view from which the order was decided: what the node has learned since does
+// not renew the right to send it.
 type Send struct {
 	VM           core.VMName
 	Order        core.Order
 	Fencing      bool
+	Confirmed    time.Time
 	AssignedSeen time.Time
 }
 
@@ -91,8 +94,12 @@
 func (Propose) action() {}
 func (Send) action()    {}
 
-// Request returns the request to hold against order.May at now.
+// Request returns the request to hold against order.May at now. The earlier of
+// confirmed and the confirmation of the order's own view counts.
 func (snd Send) Request(confirmed, now time.Time, lease time.Duration) order.Request {
+	if snd.Confirmed.Before(confirmed) {
+		confirmed = snd.Confirmed
+	}
 	return order.Request{
 		Fencing:      snd.Fencing,
 		Confirmed:    confirmed,
--- a/core/repair/orders.go
+++ b/core/repair/orders.go
@@ -133,6 +133,7 @@
 		VM:           vmn,
 		Order:        ord,
 		Fencing:      vew.in.Fencing.Has(vmn),
+		Confirmed:    vew.in.Confirmed,
 		AssignedSeen: ctl.seen(asn),
 	}}
 }
@@ -147,7 +148,7 @@
 	if !vew.in.LogOK && !vew.in.ZoneAgrees && !fnc {
 		return false
 	}
-	snd := Send{Fencing: fnc, AssignedSeen: ctl.seen(asn)}
+	snd := Send{Fencing: fnc, Confirmed: vew.in.Confirmed, AssignedSeen: ctl.seen(asn)}
 	return order.May(snd.Request(vew.in.Confirmed, vew.in.Now, vew.in.Weights.Lease)) == nil
 }
 
