--- a/cmd/replay/main.go
+++ b/cmd/replay/main.go
@@ -68,7 +68,9 @@
 		trcs = append(trcs, trc)
 	}
 	for _, dep := range deployments {
-		report(out, dep, trcs, measure(dep, trcs))
+		if err := report(out, dep, trcs, measure(dep, trcs)); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/cmd/replay/report.go
+++ b/cmd/replay/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"kumquathinge/core/trace"
@@ -22,21 +23,27 @@
 
 func minutes(dur time.Duration) string { return fmt.Sprintf("%.1f", dur.Minutes()) }
 
-func report(out io.Writer, dep trace.Deployment, trcs []*trace.Trace, res [][]trace.Result) {
-	fmt.Fprintf(out, "%s: downtime weighs %g, stranded VMs %g\n", dep.Name, dep.Downtime, dep.Stranded)
-	fmt.Fprintf(out, "%-9s%30s%33s%30s  %s\n", "trace", "downtime min", "stranded VM-min", "weighted sum", "not beaten")
-	fmt.Fprintf(out, "%-9s", "")
+// page collects the lines of a report.
+type page struct{ text strings.Builder }
+
+func (pag *page) printf(format string, args ...any) { fmt.Fprintf(&pag.text, format, args...) }
+
+func report(out io.Writer, dep trace.Deployment, trcs []*trace.Trace, res [][]trace.Result) error {
+	pag := &page{}
+	pag.printf("%s: downtime weighs %g, stranded VMs %g\n", dep.Name, dep.Downtime, dep.Stranded)
+	pag.printf("%-9s%30s%33s%30s  %s\n", "trace", "downtime min", "stranded VM-min", "weighted sum", "not beaten")
+	pag.printf("%-9s", "")
 	for range 3 {
 		for _, pol := range policies {
-			fmt.Fprintf(out, "%10s", pol.name)
+			pag.printf("%10s", pol.name)
 		}
-		fmt.Fprint(out, " ")
+		pag.printf(" ")
 	}
-	fmt.Fprintln(out)
+	pag.printf("\n")
 	sums := make([]float64, len(policies))
 	missed := 0
 	for idx, trc := range trcs {
-		held := row(out, dep, trc.Name(), res[idx])
+		held := row(pag, dep, trc.Name(), res[idx])
 		if !held {
 			missed++
 		}
@@ -44,36 +51,38 @@
 			sums[col] += res[idx][col].Cost(dep)
 		}
 	}
-	verdict(out, sums, missed, len(trcs))
+	verdict(pag, sums, missed, len(trcs))
+	_, err := io.WriteString(out, pag.text.String())
+	return err
 }
 
 // row prints one trace and reports whether no baseline beats the policy on the
 // measure that the deployment weighs more.
-func row(out io.Writer, dep trace.Deployment, name string, res []trace.Result) bool {
-	fmt.Fprintf(out, "%-9s", name)
+func row(pag *page, dep trace.Deployment, name string, res []trace.Result) bool {
+	pag.printf("%-9s", name)
 	held := true
 	for _, one := range res {
-		fmt.Fprintf(out, "%10s", minutes(one.Downtime))
+		pag.printf("%10s", minutes(one.Downtime))
 		held = held && heavier(dep, res[0]) <= heavier(dep, one)
 	}
-	fmt.Fprint(out, " ")
+	pag.printf(" ")
 	for _, one := range res {
-		fmt.Fprintf(out, "%10s", minutes(one.Stranded))
+		pag.printf("%10s", minutes(one.Stranded))
 	}
-	fmt.Fprint(out, " ")
+	pag.printf(" ")
 	for _, one := range res {
-		fmt.Fprintf(out, "%10.0f", one.Cost(dep))
+		pag.printf("%10.0f", one.Cost(dep))
 	}
-	fmt.Fprintf(out, "  %s\n", word(held))
+	pag.printf("  %s\n", word(held))
 	return held
 }
 
-func verdict(out io.Writer, sums []float64, missed, all int) {
+func verdict(pag *page, sums []float64, missed, all int) {
 	better := min(sums[1], sums[2])
 	gain := 1 - sums[0]/better
-	fmt.Fprintf(out, "weighted sum: policy %.0f, wait %.0f, rebuild %.0f\n", sums[0], sums[1], sums[2])
-	fmt.Fprintf(out, "target: beaten on no trace: %s (%d of %d held)\n", word(missed == 0), all-missed, all)
-	fmt.Fprintf(out, "target: at least %.0f%% below the better baseline: %s (%.1f%%)\n\n", 100*targetGain, word(gain >= targetGain), 100*gain)
+	pag.printf("weighted sum: policy %.0f, wait %.0f, rebuild %.0f\n", sums[0], sums[1], sums[2])
+	pag.printf("target: beaten on no trace: %s (%d of %d held)\n", word(missed == 0), all-missed, all)
+	pag.printf("target: at least %.0f%% below the better baseline: %s (%.1f%%)\n\n", 100*targetGain, word(gain >= targetGain), 100*gain)
 }
 
 func word(held bool) string {
