Break up groups for a group of their domain that can be built anew

Cause: with no free VM in the domain two incomplete groups both waited; giving both up at once, as always rebuild does, strands fewer VMs (hours, losses). Change: incomplete groups that the policy would not wait for give their members to the largest incomplete one of the domain; a smaller complete group gives its members if the weights pay for it.

--- a/core/repair/reason.go
+++ b/core/repair/reason.go
@@ -13,6 +13,7 @@
 	reasonChanged  = "settings changed"
 	reasonLeaving  = "member leaves"
 	reasonReplace  = "member missing"
+	reasonBreakUp  = "broken up for another group"
 )
 
 // rollShare of the groups of a model may be out of service for a planned
@@ -38,6 +39,12 @@
 	if cse, missing := ctl.lacking(vew, wnt, asn); missing && ctl.cfg.Policy.Replace(cse) {
 		return reasonReplace
 	}
+	if ctl.repairs(vew, asn) {
+		return reasonReplace
+	}
+	if ctl.donates(vew, asn) {
+		return reasonBreakUp
+	}
 	return ""
 }
 
--- a/core/repair/view.go
+++ b/core/repair/view.go
@@ -21,6 +21,7 @@
 	stale   []fold.Hold
 	vms     map[core.VMName]core.VM
 	engines []core.VM
+	gifts   *[]gift
 }
 
 func newView(in *Input) *view {
