Let experience outweigh the priors of an absence

Cause: with few absences seen, a short pause was taken for a lost VM (pauses, slow). Change: absences that were seen count three times, the priors hold more returns within ReturnWait and no absence of 40 times it.

--- a/core/repair/past.go
+++ b/core/repair/past.go
@@ -10,6 +10,10 @@
 const (
 	maxReturns = 64
 
+	// returnWeight is the weight of an absence that was seen against one of
+	// priorReturns.
+	returnWeight = 3
+
 	// defaultLoad stands for the time of a load until one was seen.
 	defaultLoad = 2 * time.Minute
 
@@ -30,8 +34,8 @@
 	parts  float64
 	intact bool
 }{
-	{0.1, true}, {0.25, true}, {0.5, true}, {0.9, true},
-	{0.75, false}, {4, false}, {12, false}, {40, false},
+	{0.1, true}, {0.25, true}, {0.5, true}, {1, true}, {1, true},
+	{0.75, false}, {4, false}, {12, false},
 }
 
 // history is what a Controller has learned of absences and loads.
@@ -80,7 +84,9 @@
 	for _, pri := range priorReturns {
 		out = append(out, returned{after: time.Duration(pri.parts * float64(wait)), intact: pri.intact})
 	}
-	out = append(out, hst.returns...)
+	for range returnWeight {
+		out = append(out, hst.returns...)
+	}
 	out = slices.DeleteFunc(out, func(ret returned) bool { return ret.after <= gone })
 	slices.SortFunc(out, func(are, bre returned) int { return int(are.after - bre.after) })
 	return out
