Keep a group whose leaving member can't be replaced

Cause: with no other VMs there, retiring the group made all its members load again when the leaving VM had come back; kept, only that one loads. The group gets no work meanwhile either way. Change: Replace is asked for leaving members too; draining settings still retire at once, as do both baselines.

--- a/core/repair/policy.go
+++ b/core/repair/policy.go
@@ -8,7 +8,8 @@
 // time for which the first of them has been missing, Rebuild the time that a
 // new generation on other VMs would take, and Reload the time that a member
 // takes to load after it returned empty. Placed states that VMs for a new
-// generation are there. Beyond holds the absences known from experience that
+// generation are there. Leaving states that the members are not missing but
+// leaving, so that they are sure to go. Beyond holds the absences known from experience that
 // were longer than Gone.
 type Case struct {
 	Size    int
@@ -17,6 +18,7 @@
 	Rebuild time.Duration
 	Reload  time.Duration
 	Placed  bool
+	Leaving bool
 	Weights Weights
 	beyond  []returned
 }
@@ -53,8 +55,8 @@
 // assignments. It serves as a baseline.
 type AlwaysWait struct{}
 
-// Replace returns false.
-func (AlwaysWait) Replace(Case) bool { return false }
+// Replace returns false but for leaving members.
+func (AlwaysWait) Replace(cse Case) bool { return cse.Leaving }
 
 // BreakUp returns false.
 func (AlwaysWait) BreakUp(Case, int) bool { return false }
@@ -85,8 +87,8 @@
 // It returns true if that instant is now. It never gives up a group that
 // can't be placed.
 func (Weighted) Replace(cse Case) bool {
-	if !cse.Placed {
-		return false
+	if !cse.Placed || cse.Leaving {
+		return cse.Placed
 	}
 	now := cse.cost(cse.Gone)
 	for _, ret := range cse.beyond {
--- a/core/repair/reason.go
+++ b/core/repair/reason.go
@@ -28,7 +28,7 @@
 		return reasonUnwanted
 	}
 	if slices.ContainsFunc(asn.VMs, vew.leaving) {
-		if vew.in.InFlight[asn.Group] > 0 {
+		if vew.in.InFlight[asn.Group] > 0 || ctl.awaits(vew, wnt, asn) {
 			return ""
 		}
 		return reasonLeaving
@@ -48,6 +48,23 @@
 	return ""
 }
 
+// awaits reports whether an assignment with leaving members is kept until their
+// VMs return: no others are there to build it anew, and the settings do not
+// ask for the VMs to be emptied.
+func (ctl *Controller) awaits(vew *view, wnt Wanted, asn core.Assignment) bool {
+	cse := Case{Size: len(asn.VMs), Leaving: true, Weights: vew.in.Weights}
+	for _, vmn := range asn.VMs {
+		if vew.in.Draining.Has(vmn) {
+			return false
+		}
+		if vew.leaving(vmn) {
+			cse.Missing++
+		}
+	}
+	cse.Placed = ctl.placeable(vew, wnt, asn, cse.Missing)
+	return !ctl.cfg.Policy.Replace(cse)
+}
+
 func changed(wnt Wanted, asn core.Assignment) bool {
 	return !wnt.Spec.Equal(asn.Spec) || wnt.Size != len(asn.VMs) || !wnt.allows(asn.Domain)
 }
