Break up a complete group only if the absence lasts in three of four cases

Cause: the mean of the absences, which the longest dominate, broke complete groups up for members that came back soon (slow, power, losses). Change: the lower quartile of the known absences stands for the time away.

--- a/core/repair/policy.go
+++ b/core/repair/policy.go
@@ -120,17 +120,13 @@
 }
 
 // BreakUp weighs the gain, a larger group in place of a smaller one for the
-// time for which the member is expected to stay away, against the time in
-// which both are being built.
+// time for which the member stays away in three of four cases, against the time in which both
+// are being built.
 func (Weighted) BreakUp(cse Case, victim int) bool {
 	if victim >= cse.Size || len(cse.beyond) == 0 {
 		return false
 	}
-	var rest time.Duration
-	for _, ret := range cse.beyond {
-		rest += ret.after - cse.Gone
-	}
-	rest /= time.Duration(len(cse.beyond))
+	rest := cse.beyond[len(cse.beyond)/4].after - cse.Gone
 	gain := cse.Weights.Stranded * float64(cse.Size-victim) * (rest - cse.Rebuild).Seconds()
 	loss := cse.Weights.rate(victim) * (2 * cse.Rebuild).Seconds()
 	return gain > loss
