--- a/core/tail/random_test.go
+++ b/core/tail/random_test.go
@@ -24,6 +24,7 @@
 		"run":     func(rap *rapid.T) { randomRun(rap, wld) },
 		"propose": func(rap *rapid.T) { randomPropose(rap, wld) },
 		"fault":   func(rap *rapid.T) { randomFault(rap, wld) },
+		"beat":    func(rap *rapid.T) { randomBeat(rap, wld) },
 		"late":    func(*rapid.T) { wld.landLate() },
 		"":        func(rap *rapid.T) { failOn(rap, wld.check()) },
 	}
@@ -37,6 +38,20 @@
 	}
 }
 
+// randomBeat tells one unit the hash of another. States that differ would
+// raise the alarm.
+func randomBeat(rap *rapid.T, wld *world) {
+	uni, per := anyUnit(rap, wld), anyUnit(rap, wld)
+	if uni.cutPeers || per.cutPeers {
+		return
+	}
+	sts := per.fol.Status()
+	wld.feed(uni, tail.PeerHash{Node: per.name, At: sts.HashAt, Hash: sts.Hash})
+	if cod := uni.fol.Status().Code; cod == core.CodeHashAlarm {
+		rap.Fatal("hash alarm")
+	}
+}
+
 // landLate lets the appends of processes that are gone take effect.
 func (wld *world) landLate() {
 	for _, fun := range wld.late {
--- a/core/tail/recent.go
+++ b/core/tail/recent.go
@@ -95,7 +95,7 @@
 		return ""
 	}
 	evt := hlg.peers[hlg.bad.Sorted()[0]]
-	return fmt.Sprintf("the state at offset %d differs from that of %s and of %d of %d peers", evt.At, evt.Node, hlg.bad.Len(), len(hlg.peers))
+	return fmt.Sprintf("the state at offset %d differs from that of %s (%d of %d peers differ)", evt.At, evt.Node, hlg.bad.Len(), len(hlg.peers))
 }
 
 // outvoted reports whether more peers have another state than have this one,
--- /dev/null
+++ b/store/example_test.go
@@ -0,0 +1,52 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquathinge/core"
+	"kumquathinge/core/recd"
+	"kumquathinge/store"
+	"kumquathinge/store/logfk"
+)
+
+// Two operators change the same node of the settings, both from its first
+// version. The second is told who was first.
+func Example() {
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	str := store.New(store.Config{
+		Node: "n1", Log: logfk.New(time.Now).Client(), Logger: log,
+		Peers: func() []core.Peer { return nil },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- str.Run(ctx) }()
+
+	for _, who := range []string{"ana", "bo"} {
+		vers, err := str.Propose(ctx, recd.Record{By: who, Setting: &recd.Setting{
+			Path: "/orgs/huellas", Key: "org.priority", Value: []byte("7"),
+		}})
+		if err != nil {
+			fmt.Println(err)
+			continue
+		}
+		fmt.Println(who, vers[0].Code, vers[0].Offset)
+		if !vers[0].Accepted() {
+			fmt.Println(vers[0].Detail)
+		}
+	}
+	fmt.Println(str.View().Tree().Config("/orgs/huellas").Int("org.priority"))
+
+	cancel()
+	fmt.Println(<-ended)
+	// Output:
+	// ana 0 1
+	// bo 302 2
+	// /orgs/huellas was changed by ana at offset 1, this change was made from offset 0
+	// 7
+	// <nil>
+}
