Catch two removals that no test had seen

The removal of new connections after silence and of the offset told by peers had gone unseen; both are killed now.

--- a/core/tail/tail_test.go
+++ b/core/tail/tail_test.go
@@ -193,6 +193,18 @@
 		}
 		assert.Equal(tst, far.fol.State().Tree().Config("/").Int("queue.depth"), 8)
 	}},
+	{"replaced while cut from the log, a peer told of a newer offset", func(tst *testing.T, wld *world) {
+		far := wld.units[2]
+		wld.lgs.Down(true)
+		wld.start(far)
+		wld.feed(far, tail.PeerHash{Node: "n9", At: 2})
+		wld.settle()
+		assert.Equal(tst, far.fol.State().Offset(), core.Offset(1))
+		assert.Assert(tst, !far.fol.Status().Ready)
+		wld.lgs.Down(false)
+		wld.settle()
+		wld.inForce(tst, 7)
+	}},
 	{"snapshot half written, then whole", func(tst *testing.T, wld *world) {
 		one, far := wld.units[0], wld.units[2]
 		far.dead = true
--- a/io/logs/client_test.go
+++ b/io/logs/client_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -84,22 +85,31 @@
 	assert.Equal(tst, core.CodeOf(err), core.CodeLogRefused)
 }
 
-// TestSilentConnection leaves the open connection silent: the append on it is
-// unknown, and the next call uses a new connection.
+// TestSilentConnection leaves all open connections silent: the append on one
+// is unknown, and the next call uses a new connection.
 func TestSilentConnection(tst *testing.T) {
 	svc := stand.NewLog()
 	assert.NilError(tst, svc.Start("127.0.0.1:0"))
 	tst.Cleanup(func() { _ = svc.Close() })
 	cli := logs.New("http://" + svc.Addr())
-	_, err := cli.Append(tst.Context(), "r1", nil)
-	assert.NilError(tst, err)
+	const conns = 4
+	var grp sync.WaitGroup
+	for range conns {
+		grp.Go(func() {
+			_, err := cli.Read(tst.Context(), 1, 1, 100*time.Millisecond)
+			assert.Check(tst, err)
+		})
+	}
+	grp.Wait()
 	flt := svc.Fault()
 	flt.SilentOld = true
 	svc.SetFault(flt)
 	ctx, cancel := context.WithTimeout(tst.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = cli.Append(ctx, "r2", nil)
+	_, err := cli.Append(ctx, "r1", nil)
 	assert.Equal(tst, core.CodeOf(err), core.CodeLogUnknown)
-	_, err = cli.Append(tst.Context(), "r3", nil)
+	ctx, cancel = context.WithTimeout(tst.Context(), 5*time.Second)
+	defer cancel()
+	_, err = cli.Append(ctx, "r2", nil)
 	assert.NilError(tst, err)
 }
