--- a/core/fold/encode.go
+++ b/core/fold/encode.go
@@ -1,8 +1,12 @@
 package fold
 
 import (
+	"bytes"
 	"cmp"
+	"compress/flate"
 	"container/heap"
+	"errors"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +20,8 @@
 // formatVersion is the version of the encoded state.
 const formatVersion uint16 = 1
 
+const maxImageBytes = 256 << 20
+
 // image is the encoded form of a State.
 type image struct {
 	Format  uint16            `cbor:"1,keyasint"`
@@ -112,7 +118,37 @@
 	out.Claims = slices.SortedFunc(slices.Values(img.claims), func(one, two *Claim) int {
 		return cmp.Or(cmp.Compare(one.Org, two.Org), cmp.Compare(one.Key, two.Key))
 	})
-	return encode(out)
+	return pack(encode(out))
+}
+
+// pack compresses data (RFC 1951): names and record IDs repeat a lot.
+func pack(data []byte) []byte {
+	var buf bytes.Buffer
+	wri, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	_, err = wri.Write(data)
+	if err != nil {
+		panic(err)
+	}
+	err = wri.Close()
+	if err != nil {
+		panic(err)
+	}
+	return buf.Bytes()
+}
+
+// unpack undoes pack. It refuses what unpacks to more than maxImageBytes.
+func unpack(data []byte) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxImageBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(out) > maxImageBytes {
+		return nil, errors.New("more data than a state has")
+	}
+	return out, nil
 }
 
 // Encode returns the encoded state, as Image and its Encode do.
@@ -141,7 +177,10 @@
 // DecodeFor is Decode for a program that knows the given versions and rules.
 func DecodeFor(prg Program, data []byte) (*State, error) {
 	var img image
-	err := decMode.Unmarshal(data, &img)
+	raw, err := unpack(data)
+	if err == nil {
+		err = decMode.Unmarshal(raw, &img)
+	}
 	if err != nil {
 		return nil, core.Errorf(core.CodeSnapshotBad, "encoded state can't be read: %v", err)
 	}
