--- a/core/tail/replay_test.go
+++ b/core/tail/replay_test.go
@@ -19,11 +19,11 @@
 	assert.Assert(tst, len(names) >= 5)
 	for _, nam := range names {
 		tst.Run(filepath.Base(nam), func(tst *testing.T) {
-			fil, err := os.Open(nam)
-			assert.NilError(tst, err)
+			fil, oer := os.Open(nam)
+			assert.NilError(tst, oer)
 			defer fil.Close()
-			got, want, err := tail.Replay(fil)
-			assert.NilError(tst, err)
+			got, want, rer := tail.Replay(fil)
+			assert.NilError(tst, rer)
 			assert.DeepEqual(tst, got, want, cmpopts.EquateEmpty())
 		})
 	}
