--- a/core/crash/book.go
+++ b/core/crash/book.go
@@ -66,7 +66,9 @@
 type Book struct {
 	cfg     Config
 	running map[run]int
+	counted map[run]struct{}
 	broken  map[run]time.Time
+	silent  map[run]time.Time
 	own     map[uint64]entry
 	peers   map[core.NodeName]map[uint64]core.Suspect
 }
@@ -80,7 +82,9 @@
 	return &Book{
 		cfg:     cfg,
 		running: make(map[run]int),
+		counted: make(map[run]struct{}),
 		broken:  make(map[run]time.Time),
+		silent:  make(map[run]time.Time),
 		own:     make(map[uint64]entry),
 		peers:   make(map[core.NodeName]map[uint64]core.Suspect),
 	}
@@ -101,14 +105,31 @@
 	boo.running[key]--
 	if boo.running[key] == 0 {
 		delete(boo.running, key)
+		delete(boo.counted, key)
 	}
 }
 
-// Broken notes that the request's connection to the group broke or went
-// silent. It panics if the request did not run there.
+// Broken notes that the request's connection to the group broke. A break that
+// follows the group's loss counts no further. It panics if the request did not
+// run there.
 func (boo *Book) Broken(print uint64, grp core.GroupName, now time.Time) {
+	boo.ended(boo.broken, print, grp, now)
+}
+
+// Silent notes that the request's connection to the group went silent. That
+// counts only if the group's loss follows: connections also go silent for
+// reasons of their own. It panics if the request did not run there.
+func (boo *Book) Silent(print uint64, grp core.GroupName, now time.Time) {
+	boo.ended(boo.silent, print, grp, now)
+}
+
+func (boo *Book) ended(set map[run]time.Time, print uint64, grp core.GroupName, now time.Time) {
+	key := run{print, grp}
+	_, counted := boo.counted[key]
 	boo.Stopped(print, grp)
-	boo.broken[run{print, grp}] = now.Add(boo.cfg.Grace)
+	if !counted {
+		set[key] = now.Add(boo.cfg.Grace)
+	}
 }
 
 // Completed notes that the request ran to its end on the group and clears it.
@@ -159,14 +180,18 @@
 func (boo *Book) ranOn(grp core.GroupName) []uint64 {
 	set := make(map[uint64]struct{})
 	for key := range boo.running {
-		if key.group == grp {
+		_, counted := boo.counted[key]
+		if key.group == grp && !counted {
 			set[key.print] = struct{}{}
+			boo.counted[key] = struct{}{}
 		}
 	}
-	for key := range boo.broken {
-		if key.group == grp {
-			set[key.print] = struct{}{}
-			delete(boo.broken, key)
+	for _, ends := range []map[run]time.Time{boo.broken, boo.silent} {
+		for key := range ends {
+			if key.group == grp {
+				set[key.print] = struct{}{}
+				delete(ends, key)
+			}
 		}
 	}
 	out := make([]uint64, 0, len(set))
@@ -303,9 +328,11 @@
 
 // expire drops what is over.
 func (boo *Book) expire(now time.Time) {
-	for key, until := range boo.broken {
-		if !now.Before(until) {
-			delete(boo.broken, key)
+	for _, ends := range []map[run]time.Time{boo.broken, boo.silent} {
+		for key, until := range ends {
+			if !now.Before(until) {
+				delete(ends, key)
+			}
 		}
 	}
 	for print, ent := range boo.own {
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -29,6 +29,9 @@
 	broke := func(grp core.GroupName) func(boo *crash.Book) {
 		return func(boo *crash.Book) { boo.Broken(7, grp, begin) }
 	}
+	silent := func(grp core.GroupName) func(boo *crash.Book) {
+		return func(boo *crash.Book) { boo.Silent(7, grp, begin) }
+	}
 	stop := func(grp core.GroupName) func(boo *crash.Book) {
 		return func(boo *crash.Book) { boo.Stopped(7, grp) }
 	}
@@ -52,6 +55,10 @@
 		{"one break", []func(*crash.Book){run("a"), broke("a")}, 0, crash.Alone},
 		{"break not confirmed", []func(*crash.Book){run("a"), broke("a")}, 6 * time.Second, crash.Free},
 		{"break confirmed", []func(*crash.Book){run("a"), broke("a"), lost("a")}, 6 * time.Second, crash.Alone},
+		{"break behind the loss", []func(*crash.Book){run("a"), lost("a"), broke("a")}, 0, crash.Alone},
+		{"loss told twice", []func(*crash.Book){run("a"), lost("a"), lost("a")}, 0, crash.Alone},
+		{"silent twice", []func(*crash.Book){run("a"), silent("a"), run("b"), silent("b")}, 0, crash.Free},
+		{"silent, then lost", []func(*crash.Book){run("a"), silent("a"), lost("a")}, 6 * time.Second, crash.Alone},
 		{"two breaks", []func(*crash.Book){run("a"), broke("a"), run("b"), broke("b")}, 0, crash.Quarantined},
 		{"two crashes", []func(*crash.Book){run("a"), lost("a"), stop("a"), run("b"), lost("b")}, 0, crash.Quarantined},
 		{"quarantine over", []func(*crash.Book){run("a"), lost("a"), stop("a"), run("b"), lost("b")}, time.Minute, crash.Free},
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -119,6 +119,8 @@
 		kind = flight.EventNotRun
 	case att.base.Err() != nil:
 	case code == core.CodeCrossedAnswer:
+	case code == core.CodeSilent:
+		how = endSilent
 	default:
 		how = endBroken
 		att.drv.broke = true
--- a/serve/books.go
+++ b/serve/books.go
@@ -90,6 +90,7 @@
 const (
 	endStopped ending = iota
 	endBroken
+	endSilent
 	endCompleted
 )
 
@@ -100,6 +101,8 @@
 		boo.suspects.Stopped(print, grp)
 	case endBroken:
 		boo.suspects.Broken(print, grp, now)
+	case endSilent:
+		boo.suspects.Silent(print, grp, now)
 	case endCompleted:
 		boo.suspects.Completed(print, grp, now)
 	}
--- a/serve/choose.go
+++ b/serve/choose.go
@@ -42,8 +42,19 @@
 	if drv.job.Service != "" {
 		return drv.choosePlain(act)
 	}
-	cands := drv.srv.cfg.Backends.Candidates(drv.job)
-	cands = drv.preferNew(cands, act.Exclude)
+	fresh, failed := split(drv.srv.cfg.Backends.Candidates(drv.job), act.Exclude)
+	for _, cands := range [][]core.Candidate{fresh, failed} {
+		ev := drv.chooseFrom(ctx, cands, act)
+		if ev.Kind != "" {
+			return ev
+		}
+	}
+	return flight.Event{Kind: flight.EventNoGroup, Code: core.CodeNoGroup}
+}
+
+// chooseFrom picks one of the candidates. It returns no event if none of them
+// may be sent the request.
+func (drv *drive) chooseFrom(ctx context.Context, cands []core.Candidate, act flight.Action) flight.Event {
 	for len(cands) > 0 {
 		pos, wait, ev := drv.pick(cands)
 		if ev.Kind != "" {
@@ -67,22 +78,20 @@
 		drv.unreserve(grp)
 		cands = slices.Delete(cands, pos, pos+1)
 	}
-	return flight.Event{Kind: flight.EventNoGroup, Code: core.CodeNoGroup}
+	return flight.Event{}
 }
 
-// preferNew leaves out the groups that this request failed at, unless there
-// are no others.
-func (drv *drive) preferNew(cands []core.Candidate, exclude []core.GroupName) []core.Candidate {
-	out := make([]core.Candidate, 0, len(cands))
+// split parts the candidates into those that this request has not failed at and
+// the others.
+func split(cands []core.Candidate, exclude []core.GroupName) (fresh, failed []core.Candidate) {
 	for _, cand := range cands {
-		if !slices.Contains(exclude, cand.Group) {
-			out = append(out, cand)
+		if slices.Contains(exclude, cand.Group) {
+			failed = append(failed, cand)
+		} else {
+			fresh = append(fresh, cand)
 		}
 	}
-	if len(out) == 0 {
-		return slices.Clone(cands)
-	}
-	return out
+	return fresh, failed
 }
 
 // fits reports whether the group's output may follow what was passed on.
--- /dev/null
+++ b/serve/whole_test.go
@@ -0,0 +1,213 @@
+package serve_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/serve"
+	"kumquathinge/stand"
+)
+
+var engineFaults = map[string]struct {
+	fault stand.EngineFault
+	// code is that of a request whose every attempt meets the fault.
+	code core.Code
+}{
+	"none":            {stand.EngineFault{}, core.CodeOK},
+	"crossed":         {stand.EngineFault{WrongAttempt: true}, core.CodeCrossedAnswer},
+	"cut":             {stand.EngineFault{CutAfter: 2}, core.CodeCutAnswer},
+	"cut at the head": {stand.EngineFault{Fault: stand.Fault{Down: true}}, core.CodeUnknownOutcome},
+	"no end":          {stand.EngineFault{NoEnd: true}, core.CodeCutAnswer},
+	"gap":             {stand.EngineFault{GapAt: 3}, core.CodeCutAnswer},
+	"frozen":          {stand.EngineFault{Fault: stand.Fault{Freeze: true}}, core.CodeSilent},
+	"silent old":      {stand.EngineFault{Fault: stand.Fault{SilentOld: true}}, core.CodeOK},
+	"dead":            {stand.EngineFault{Die: true}, core.CodeDialFailed},
+	"refuses":         {stand.EngineFault{Fault: stand.Fault{Refuse: true}}, core.CodeRefused},
+}
+
+// TestHoldsWholeAnswer runs completions against engines that answer late,
+// crossed, cut, with gaps, or not at all: the caller gets the whole answer to
+// its own request, or a beginning of it and an error.
+func TestHoldsWholeAnswer(t *testing.T) {
+	for name, tt := range engineFaults {
+		t.Run("one engine "+name, func(t *testing.T) {
+			rg := newRig(t)
+			srv := rg.node("n1", "r1")
+			warm(t, rg, srv)
+			rg.engines[0].SetFault(tt.fault)
+			for range 3 {
+				run(t, rg, srv, completionJob(), core.CodeOK)
+			}
+		})
+		t.Run("both engines "+name, func(t *testing.T) {
+			rg := newRig(t)
+			srv := rg.node("n1", "r1")
+			warm(t, rg, srv)
+			for _, eng := range rg.engines {
+				eng.SetFault(tt.fault)
+			}
+			run(t, rg, srv, completionJob(), tt.code)
+		})
+	}
+	t.Run("another assignment answers", crossedHead)
+	t.Run("group lost in the middle", lostGroup)
+	t.Run("from a position", func(t *testing.T) {
+		rg := newRig(t)
+		job := completionJob()
+		job.From = 4
+		run(t, rg, rg.node("n1", "r1"), job, core.CodeOK)
+	})
+	t.Run("another version is not spliced in", otherVersion)
+	t.Run("random faults", randomFaults)
+	t.Run("calls", wholeCalls)
+}
+
+// warm leaves an idle connection to each engine.
+func warm(t *testing.T, rg *rig, srv *serve.Server) {
+	t.Helper()
+	for num := range rg.engines {
+		rg.missing[group(1-num)] = true
+		run(t, rg, srv, completionJob(), core.CodeOK)
+		rg.missing[group(1-num)] = false
+	}
+}
+
+// run runs a job and checks its parts, its code, and that "not run" is true.
+func run(t testing.TB, rg *rig, srv *serve.Server, job core.Job, want core.Code) *recorder {
+	t.Helper()
+	rec := &recorder{}
+	err := srv.Run(context.Background(), job, rec)
+	assert.Equal(t, core.CodeOf(err), want, "%v", err)
+	check(t, rg, job, rec, err)
+	return rec
+}
+
+func check(t testing.TB, rg *rig, job core.Job, rec *recorder, err error) {
+	t.Helper()
+	rec.checkAnswer(t, job, err)
+	if core.CodeOf(err).NotRun() && job.Key == "" {
+		assert.Equal(t, rg.ran(job), 0, "%v", err)
+	}
+}
+
+// crossedHead lets another assignment answer than the gate knows of: nothing
+// of the answer is passed on.
+func crossedHead(t *testing.T) {
+	rg := newRig(t)
+	srv := rg.node("n1", "r1")
+	for num := range rg.engines {
+		per, err := rg.Permit(group(num), time.Now())
+		assert.NilError(t, err)
+		rg.frozen[group(num)] = per
+		rg.load(num, 7, core.Spec{Model: "m", Version: "2", Role: core.RoleBoth})
+	}
+	// The engines refuse an order number that is not theirs; only the head
+	// tells if they do not.
+	job := completionJob()
+	rec := &recorder{}
+	err := srv.Run(context.Background(), job, rec)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(rec.parts), 0)
+	check(t, rg, job, rec, err)
+}
+
+func lostGroup(t *testing.T) {
+	rg := newRig(t)
+	srv := rg.node("n1", "r1")
+	job := completionJob()
+	job.MaxTokens = 200
+	rec := &recorder{first: make(chan struct{})}
+	go func() {
+		<-rec.first
+		rg.mtx.Lock()
+		rg.missing["g0"] = true
+		rg.mtx.Unlock()
+		srv.Lost("g0")
+	}()
+	err := srv.Run(context.Background(), job, rec)
+	assert.NilError(t, err)
+	check(t, rg, job, rec, err)
+	assert.Equal(t, rg.ran(job), 2, "the rest came from the other group")
+}
+
+func otherVersion(t *testing.T) {
+	rg := newRig(t)
+	srv := rg.node("n1", "r1")
+	rg.load(1, 9, core.Spec{Model: "m", Version: "2", Role: core.RoleBoth})
+	rg.engines[0].SetFault(stand.EngineFault{CutAfter: 2})
+	job := completionJob()
+	run(t, rg, srv, job, core.CodeOK)
+	assert.Equal(t, rg.engines[1].Count().ByRequest[job.ID], 0)
+}
+
+// randomFaults runs many requests at a time while the engines' faults change.
+func randomFaults(t *testing.T) {
+	rg := newRig(t)
+	srv := rg.node("n1", "r1")
+	rng := rand.New(rand.NewPCG(1, 2))
+	var names []string
+	for _, name := range []string{"none", "crossed", "cut", "no end", "gap", "refuses", "silent old"} {
+		names = append(names, name)
+	}
+	for range 20 {
+		for _, eng := range rg.engines {
+			eng.SetFault(engineFaults[names[rng.IntN(len(names))]].fault)
+		}
+		var wgr sync.WaitGroup
+		for range 10 {
+			wgr.Go(func() {
+				job := completionJob()
+				rec := &recorder{}
+				err := srv.Run(context.Background(), job, rec)
+				check(t, rg, job, rec, err)
+			})
+		}
+		wgr.Wait()
+	}
+}
+
+func wholeCalls(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  stand.PlainFault
+		method string
+		one    core.Code
+		both   core.Code
+	}{
+		{"none", stand.PlainFault{}, http.MethodPost, core.CodeOK, core.CodeOK},
+		{"crossed", stand.PlainFault{WrongAttempt: true}, http.MethodGet, core.CodeOK, core.CodeCrossedAnswer},
+		{"crossed, not idempotent", stand.PlainFault{WrongAttempt: true}, http.MethodPost, core.CodeCrossedAnswer, core.CodeCrossedAnswer},
+		{"short", stand.PlainFault{ShortBody: true}, http.MethodGet, core.CodeOK, core.CodeCutAnswer},
+		{"short, not idempotent", stand.PlainFault{ShortBody: true}, http.MethodPost, core.CodeCutAnswer, core.CodeCutAnswer},
+		{"frozen", stand.PlainFault{Fault: stand.Fault{Freeze: true}}, http.MethodGet, core.CodeOK, core.CodeSilent},
+		{"refuses", stand.PlainFault{Fault: stand.Fault{Refuse: true}}, http.MethodPost, core.CodeOK, core.CodeRefused},
+	}
+	for _, tt := range tests {
+		for _, both := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.name, both), func(t *testing.T) {
+				rg := newRig(t)
+				// The first choice falls on p0.
+				srv := rg.node("n1", "r1", func(cfg *serve.Config) { cfg.Rand = func() uint64 { return 0 } })
+				rg.plains[0].SetFault(tt.fault)
+				want := tt.one
+				if both {
+					rg.plains[1].SetFault(tt.fault)
+					want = tt.both
+				}
+				job := callJob(tt.method)
+				run(t, rg, srv, job, want)
+				if tt.method == http.MethodPost {
+					assert.Assert(t, rg.ran(job) <= 1)
+				}
+			})
+		}
+	}
+}
