--- a/serve/order.go
+++ b/serve/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"kumquathinge/core"
 )
@@ -11,24 +12,47 @@
 	turns []chan struct{}
 }
 
-// takeTurn waits until the job is the first of its ordering key. The function
-// that it returns lets the next one run.
-func (srv *Server) takeTurn(ctx context.Context, job core.Job) (func(), error) {
+// turn is a job's place in the line of its ordering key. The zero turn is that
+// of a job without one.
+type turn struct {
+	srv   *Server
+	key   string
+	first chan struct{}
+}
+
+// lineUp takes the job's place.
+func (srv *Server) lineUp(job core.Job) turn {
 	if job.Service == "" || job.OrderKey == "" {
-		return func() {}, nil
+		return turn{}
+	}
+	trn := turn{
+		srv:   srv,
+		key:   string(job.Org) + "\x00" + job.Service + "\x00" + job.OrderKey,
+		first: make(chan struct{}),
 	}
-	key := string(job.Org) + "\x00" + job.Service + "\x00" + job.OrderKey
-	turn := make(chan struct{})
-	srv.use(func(boo *books) { boo.enqueue(key, turn) })
-	leave := func() { srv.use(func(boo *books) { boo.leave(key, turn) }) }
-	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	srv.use(func(boo *books) { boo.enqueue(trn.key, trn.first) })
+	return trn
+}
+
+// wait waits until the job is the first of its line.
+func (trn turn) wait(ctx context.Context, until time.Time) error {
+	if trn.first == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	select {
-	case <-turn:
-		return leave, nil
+	case <-trn.first:
+		return nil
 	case <-ctx.Done():
-		leave()
-		return nil, fail(ctxCode(ctx), 0, "waiting behind calls with the same ordering key")
+		return fail(ctxCode(ctx), 0, "waiting behind calls with the same ordering key")
+	}
+}
+
+// leave gives up the place, so that the next job runs.
+func (trn turn) leave() {
+	if trn.first != nil {
+		trn.srv.use(func(boo *books) { boo.leave(trn.key, trn.first) })
 	}
 }
 
--- a/serve/rig_test.go
+++ b/serve/rig_test.go
@@ -183,7 +183,13 @@
 	for _, one := range change {
 		one(&cfg)
 	}
-	return serve.New(cfg)
+	srv := serve.New(cfg)
+	rg.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), deadline)
+		defer cancel()
+		_ = srv.Drain(ctx)
+	})
+	return srv
 }
 
 // sharedLog is the log and the fold of it that all nodes of a rig share.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -149,17 +149,18 @@
 	if job.Deadline.IsZero() {
 		job.Deadline = now.Add(defaultDeadline)
 	}
+	trn := srv.lineUp(job)
+	defer trn.leave()
 	srv.use(func(boo *books) {
 		boo.jobs++
 		boo.budget.Note(pol.RetryBudget, now)
 		boo.suspects.SetQuarantine(pol.Quarantine)
 	})
 	defer srv.use(func(boo *books) { boo.jobDone() })
-	leave, err := srv.takeTurn(ctx, job)
+	err := trn.wait(ctx, job.Deadline)
 	if err != nil {
 		return err
 	}
-	defer leave()
 	if job.Once() {
 		return srv.runOnce(ctx, job, snk, pol)
 	}
