--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -28,10 +28,11 @@
 }
 
 // Offer takes in an item and returns the actions that follow, for this item
-// or others. Offer panics if the cost is not positive or the ID is in use.
+// or others. Offer panics if the cost is not positive, the work is negative or
+// the ID is in use.
 func (mac *Machine) Offer(itm Item, now time.Time) []Action {
-	if !(itm.Cost > 0) {
-		panic(fmt.Sprintf("admit: cost %v of item %d", itm.Cost, itm.ID))
+	if !(itm.Cost > 0) || !(itm.Work >= 0) {
+		panic(fmt.Sprintf("admit: cost %v and work %v of item %d", itm.Cost, itm.Work, itm.ID))
 	}
 	if _, ok := mac.entries[itm.ID]; ok {
 		panic(fmt.Sprintf("admit: item %d offered twice", itm.ID))
@@ -68,15 +69,15 @@
 	return itm.Deadline
 }
 
-// late returns the refusal of an item that can't end before its deadline. An
-// idle model takes any item whose deadline is still to come, so that an
-// estimate that is too high gets corrected.
+// late returns the refusal of an item that can't end before its deadline. A
+// model with spare slots takes any item whose deadline is still to come, so that
+// an estimate that is too high gets corrected.
 func (mac *Machine) late(pol *pool, flw *flow, itm Item, now time.Time) (Refuse, bool) {
 	if itm.Deadline.IsZero() {
 		return Refuse{}, false
 	}
 	left := itm.Deadline.Sub(now)
-	if left > 0 && pol.running == 0 && pol.waiting == 0 {
+	if left > 0 && pol.spare() && pol.waiting == 0 {
 		return Refuse{}, false
 	}
 	ahead := flw.ahead(itm.Priority)
@@ -127,13 +128,13 @@
 }
 
 // expired reports whether a waiting item can't end before its deadline. While
-// nothing runs, only the deadline itself counts.
+// slots are spare, only the deadline itself counts.
 func (mac *Machine) expired(ent *entry, now time.Time) bool {
 	if ent.item.Deadline.IsZero() {
 		return false
 	}
 	left := ent.item.Deadline.Sub(now)
-	if ent.pool.running == 0 {
+	if ent.pool.spare() {
 		return left <= 0
 	}
 	return seconds(ent.pool.service(ent.item.Work)) >= left
@@ -236,7 +237,7 @@
 // passed reports whether a waiting item with so much work ahead of it can't
 // end before its deadline.
 func (mac *Machine) passed(ent *entry, ahead float64, now time.Time) bool {
-	if ent.item.Deadline.IsZero() || ent.pool.running == 0 {
+	if ent.item.Deadline.IsZero() || ent.pool.spare() {
 		return false
 	}
 	need := ent.pool.delay(ent.flow, ahead) + ent.pool.service(ent.item.Work)
