--- /dev/null
+++ b/core/gate/example_test.go
@@ -0,0 +1,43 @@
+package gate_test
+
+import (
+	"fmt"
+	"time"
+
+	"kumquathinge/core"
+	"kumquathinge/core/gate"
+)
+
+// Group g1 has two members. It may be sent work while the probes of both are
+// young, and the head of the answer must come from the process that was probed.
+func ExampleGate() {
+	run := core.Spec{Model: "alerts-70b", Version: "3", Role: core.RoleBoth}
+	gte := gate.New(3 * time.Second)
+	gte.Assign([]core.Assignment{{
+		Group: "g1", VMs: []core.VMName{"a", "b"}, Spec: run, Order: 42, Phase: core.PhaseAssigned,
+	}})
+	sent := time.Now() // right before the probe is sent
+	prb := core.Probe{VM: "a", Incarnation: "a/1", State: core.EngineReady, Group: "g1", Order: 42, Spec: run}
+	gte.Observe(prb, sent)
+	_, err := gte.Permit("g1", time.Now())
+	fmt.Println("one probed:", uint16(core.CodeOf(err)))
+
+	prb.VM, prb.Incarnation = "b", "b/1"
+	gte.Observe(prb, sent)
+	per, err := gte.Permit("g1", time.Now())
+	fmt.Println("both probed:", per.Leader, per.Order, err)
+
+	_, err = gte.Permit("g1", time.Now().Add(3*time.Second))
+	fmt.Println("after a pause:", uint16(core.CodeOf(err)))
+
+	head := core.Chunk{Head: true, Incarnation: "a/2", Order: 42, Spec: run}
+	fmt.Println("another process:", uint16(core.CodeOf(gte.Verify(per, head))))
+	head.Incarnation = "a/1"
+	fmt.Println("the same process:", gte.Verify(per, head))
+	// Output:
+	// one probed: 501
+	// both probed: a 42 <nil>
+	// after a pause: 501
+	// another process: 202
+	// the same process: <nil>
+}
--- /dev/null
+++ b/core/membr/example_test.go
@@ -0,0 +1,27 @@
+package membr_test
+
+import (
+	"fmt"
+	"time"
+
+	"kumquathinge/core"
+	"kumquathinge/core/membr"
+)
+
+// Node n1 hears of n2 once and picks the node for a duty of zone z1, before and
+// after n2 has become silent.
+func ExampleTable() {
+	tab := membr.New(
+		core.Beat{Node: "n1", Zone: "z1", Addr: "10.0.0.1:7400", Run: "run7"},
+		membr.Config{Suspect: 3 * time.Second, Dead: 30 * time.Second, Interval: time.Second, Fanout: 6},
+	)
+	now := time.Now()
+	tab.Heard(core.Beat{Node: "n2", Zone: "z1", Addr: "10.0.0.2:7400", Run: "run4", Seq: 1}, now)
+	for _, wait := range []time.Duration{time.Second, 4 * time.Second} {
+		live := membr.Names(tab.Zone("z1", now.Add(wait)))
+		fmt.Println(live, membr.Rank("snapshot/z1", live)[0])
+	}
+	// Output:
+	// [n1 n2] n2
+	// [n1] n1
+}
