--- a/serve/example_test.go
+++ b/serve/example_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"kumquathinge/core"
@@ -30,6 +31,18 @@
 	return core.Reply{Attempt: cal.Attempt, Status: 200, Body: append([]byte("booked "), cal.Body...)}, nil
 }
 
+// guarded lets the tasks of several requests share a router.
+type guarded struct {
+	mtx sync.Mutex
+	rtr *route.Router
+}
+
+func (grd *guarded) Choose(cands []core.Candidate, blocks []uint64, now time.Time, rnd uint64) int {
+	grd.mtx.Lock()
+	defer grd.mtx.Unlock()
+	return grd.rtr.Choose(cands, blocks, now, rnd)
+}
+
 // printer prints the parts of an answer.
 type printer struct{}
 
@@ -42,9 +55,10 @@
 // what may not.
 func ExampleServer() {
 	srv := serve.New(serve.Config{
-		Node: "n1", Run: "run7", Gate: gate.New(3 * time.Second), Chooser: route.New(route.Config{}), Backends: booking{},
-		Policy: func(core.Job) serve.Policy { return serve.Policy{MaxAttempts: 3, RetryBudget: 0.1} },
-		Now:    time.Now, Rand: rand.Uint64,
+		Node: "n1", Run: "run7", Gate: gate.New(3 * time.Second), Backends: booking{},
+		Chooser: &guarded{rtr: route.New(route.Config{})},
+		Policy:  func(core.Job) serve.Policy { return serve.Policy{MaxAttempts: 3, RetryBudget: 0.1} },
+		Now:     time.Now, Rand: rand.Uint64,
 	})
 	ctx := context.Background()
 	job := core.Job{ID: "r1", Org: "kallergis", Service: "booking", Method: "POST", Path: "/vans", Body: []byte("van 3")}
