--- a/cmd/replay/faults.go
+++ b/cmd/replay/faults.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"math"
 	"slices"
 
 	"kumquathinge/core"
 	"kumquathinge/core/trace"
 )
 
-func pow(base, exp float64) float64 { return math.Pow(base, exp) }
-
 // instants returns num times in ascending order.
 func (wri *writer) instants(num, length int) []int {
 	out := make([]int, num)
--- a/cmd/replay/generate.go
+++ b/cmd/replay/generate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -184,7 +185,7 @@
 // logarithm is uniform.
 func (wri *writer) between(low, high int) int {
 	ratio := float64(high) / float64(low)
-	return int(float64(low) * pow(ratio, wri.rnd.Float64()))
+	return int(float64(low) * math.Pow(ratio, wri.rnd.Float64()))
 }
 
 // claim reports whether the VM has no fault from at on for length, and notes
