--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -200,6 +200,11 @@
 			}
 			ben.ReportMetric(float64(len(data)), "B/snapshot")
 		})
+		ben.Run("image/"+siz.String(), func(ben *testing.B) {
+			for ben.Loop() {
+				sta.Image()
+			}
+		})
 		ben.Run("decode/"+siz.String(), func(ben *testing.B) {
 			for ben.Loop() {
 				_, err := fold.Decode(data)
