--- a/serve/serve.go
+++ b/serve/serve.go
@@ -39,7 +39,8 @@
 }
 
 // Claim is what the log's fold knows of a key. Done is set once an outcome is
-// recorded. HolderGone may be set if the holder's process has surely ended.
+// recorded. HolderGone may be set if the holder's process has ended or is not
+// heard of: a resend is then told that the request ran at most once.
 type Claim struct {
 	Record     core.RecordID
 	Offset     core.Offset
@@ -149,17 +150,18 @@
 	if job.Deadline.IsZero() {
 		job.Deadline = now.Add(defaultDeadline)
 	}
+	trn := srv.lineUp(job)
+	defer trn.leave()
 	srv.use(func(boo *books) {
 		boo.jobs++
 		boo.budget.Note(pol.RetryBudget, now)
 		boo.suspects.SetQuarantine(pol.Quarantine)
 	})
 	defer srv.use(func(boo *books) { boo.jobDone() })
-	leave, err := srv.takeTurn(ctx, job)
+	err := trn.wait(ctx, job.Deadline)
 	if err != nil {
 		return err
 	}
-	defer leave()
 	if job.Once() {
 		return srv.runOnce(ctx, job, snk, pol)
 	}
