--- a/core/tail/tail_test.go
+++ b/core/tail/tail_test.go
@@ -246,6 +246,19 @@
 		wld.settle()
 		wld.inForce(tst, 7)
 	}},
+	{"records of a newer version", func(tst *testing.T, wld *world) {
+		one := wld.units[0]
+		newer := recd.Encode(recd.Batch{Version: recd.Version + 1, Records: []recd.Record{depth(8, 1)}})
+		_, err := one.cli.Append(ctxBack, "newer", newer)
+		assert.NilError(tst, err)
+		wld.settle()
+		for _, uni := range wld.units {
+			assert.Equal(tst, uni.fol.Status().Code, core.CodeRecordBad)
+			assert.Assert(tst, !uni.fol.Status().Ready)
+			assert.Equal(tst, uni.fol.State().Offset(), core.Offset(1))
+			assert.Equal(tst, uni.fol.State().Tree().Config("/").Int("queue.depth"), 7)
+		}
+	}},
 	{"old and new programs", func(tst *testing.T, wld *world) {
 		old := wld.units[2]
 		old.prg = fold.Program{Version: recd.Version}
