Take no right to dispatch from the verdict on a released claim

A claim proposed again under its ID got the verdict on its first appearance, also after it was released and the key claimed by another node.

--- a/core/tail/parts_test.go
+++ b/core/tail/parts_test.go
@@ -247,3 +247,26 @@
 	now = now.Add(testTimings.RetryMax)
 	assert.DeepEqual(tst, read(tail.Tick{}), []int{16})
 }
+
+// TestReleasedClaim: the old verdict on a claim that was released is no right
+// to dispatch.
+func TestReleasedClaim(tst *testing.T) {
+	wld := newWorld(2)
+	wld.settle()
+	one, two := wld.units[0], wld.units[1]
+	claim := func(id core.RecordID, hld core.NodeName) recd.Record {
+		return recd.Record{ID: id, By: string(hld), Claim: &recd.Claim{Org: "o", Key: "k", Issued: wld.now, Holder: hld}}
+	}
+	tic := wld.propose(one, claim("c1", "n0"))
+	wld.settle()
+	ver := wld.verdict(tst, one, tic)
+	assert.NilError(tst, ver.Err())
+	assert.NilError(tst, wld.verdict(tst, one, wld.propose(one, claim("c1", "n0"))).Err())
+	wld.propose(one, recd.Record{By: "n0", Release: &recd.Release{Org: "o", Key: "k", Claim: ver.Offset}})
+	wld.settle()
+	assert.Equal(tst, wld.verdict(tst, one, wld.propose(one, claim("c1", "n0"))).Code, core.CodeClaimNotHolder)
+	tic = wld.propose(two, claim("c2", "n1"))
+	wld.settle()
+	assert.NilError(tst, wld.verdict(tst, two, tic).Err())
+	assert.Equal(tst, wld.verdict(tst, one, wld.propose(one, claim("c1", "n0"))).Code, core.CodeClaimNotHolder)
+}
--- a/core/tail/propose.go
+++ b/core/tail/propose.go
@@ -85,7 +85,7 @@
 	}
 	prp := &proposal{ticket: evt.Ticket, records: evt.Records, vers: make([]fold.Verdict, len(evt.Records))}
 	for idx, rec := range evt.Records {
-		if ver, ok := fol.sta.Outcome(rec.ID); ok {
+		if ver, ok := fol.decided(rec); ok {
 			prp.vers[idx] = ver
 			continue
 		}
@@ -99,6 +99,22 @@
 	fol.props.add(prp)
 }
 
+// decided returns the verdict on a record that was decided on before. A claim
+// counts as accepted only while it stands: after a release its proposer must
+// not take the old verdict for the right to dispatch.
+func (fol *Follower) decided(rec recd.Record) (fold.Verdict, bool) {
+	ver, ok := fol.sta.Outcome(rec.ID)
+	if !ok || rec.Claim == nil || !ver.Accepted() {
+		return ver, ok
+	}
+	clm, held := fol.sta.Claim(rec.Claim.Org, rec.Claim.Key)
+	if !held || clm.Record != rec.ID {
+		ver.Code = core.CodeClaimNotHolder
+		ver.Detail = "the claim was released or forgotten"
+	}
+	return ver, true
+}
+
 func (prs *proposer) add(prp *proposal) {
 	prs.byTick[prp.ticket] = prp
 	for idx, rec := range prp.records {
