--- /dev/null
+++ b/core/repair/bench_test.go
@@ -0,0 +1,32 @@
+package repair_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkStep measures a step of a controller whose groups of eight VMs all
+// serve, and one while a member of each group is missing.
+func BenchmarkStep(b *testing.B) {
+	for _, num := range []int{24, 88, 200} {
+		for _, missing := range []bool{false, true} {
+			b.Run(fmt.Sprintf("servers=%d/missing=%t", num, missing), func(b *testing.B) {
+				wld := newWorld(b.Fatalf, 1, true, num)
+				for idx := range num / 8 {
+					wld.want(groupName(idx), 8)
+				}
+				wld.run(60)
+				for idx := 0; missing && idx < num; idx += 8 {
+					wld.engines[wld.vms[idx].Name].Die()
+				}
+				wld.tick()
+				nod := wld.nodes[0]
+				in := wld.input(nod)
+				b.ReportAllocs()
+				for b.Loop() {
+					nod.ctl.Step(in)
+				}
+			})
+		}
+	}
+}
--- a/core/repair/policy.go
+++ b/core/repair/policy.go
@@ -10,7 +10,7 @@
 // takes to load after it returned empty. Placed states that VMs for a new
 // generation are there. Leaving states that the members are not missing but
 // leaving, so that they are sure to go. Beyond holds the absences known from experience that
-// were longer than Gone.
+// were longer than Gone, known is the number of all absences seen.
 type Case struct {
 	Size    int
 	Missing int
@@ -20,6 +20,7 @@
 	Placed  bool
 	Leaving bool
 	Weights Weights
+	known   int
 	beyond  []returned
 }
 
@@ -82,7 +83,11 @@
 // costs less than building the group anew.
 type Weighted struct{}
 
-// Replace chooses the instant at which to stop waiting: the one with the
+// minReturns is the number of absences from which on experience counts.
+const minReturns = 8
+
+// Replace waits for ReturnWait until there is experience. From then on it
+// chooses the instant at which to stop waiting: the one with the
 // least expected downtime over the absences that lasted longer than this one.
 // It returns true if that instant is now. It never gives up a group that
 // can't be placed.
@@ -90,6 +95,9 @@
 	if !cse.Placed || cse.Leaving {
 		return cse.Placed
 	}
+	if cse.known < minReturns {
+		return cse.Gone >= cse.Weights.ReturnWait
+	}
 	now := cse.cost(cse.Gone)
 	for _, ret := range cse.beyond {
 		if cse.cost(ret.after) < now {
--- a/core/repair/reason.go
+++ b/core/repair/reason.go
@@ -107,6 +107,7 @@
 	cse.Placed = ctl.placeable(vew, wnt, asn, cse.Missing)
 	cse.Reload = ctl.past.load(asn.Spec.Model)
 	cse.Rebuild = ctl.rebuild(vew, wnt, cse.Reload)
+	cse.known = len(ctl.past.returns)
 	cse.beyond = ctl.past.beyond(cse.Gone, vew.in.Weights.ReturnWait)
 	return cse, true
 }
--- a/core/repair/world_test.go
+++ b/core/repair/world_test.go
@@ -139,15 +139,20 @@
 	nod.gte.Leaving(wld.draining)
 }
 
-// decide lets the node's controller take a step. Records are appended at once,
-// orders wait in the node.
-func (wld *world) decide(nod *node) {
-	for _, act := range nod.ctl.Step(repair.Input{
+// input returns what the node knows.
+func (wld *world) input(nod *node) repair.Input {
+	return repair.Input{
 		Now: wld.now, Zone: "z", Proposer: nod.proposer, LogOK: !nod.noLog, ZoneAgrees: !nod.noPeers && !nod.noLog, Confirmed: nod.confirmed,
 		Assignments: nod.state.Assignments(), Holds: nod.state.Holds(), Wanted: wld.wanted, VMs: wld.vms,
 		Sights: nod.gte.Sights(), Draining: wld.draining, Fencing: wld.fencing, InFlight: wld.inFlight,
 		Weights: repair.Weights{Downtime: 1, Stranded: 1, ReturnWait: 20 * time.Second, Lease: lease, Bound: bound},
-	}) {
+	}
+}
+
+// decide lets the node's controller take a step. Records are appended at once,
+// orders wait in the node.
+func (wld *world) decide(nod *node) {
+	for _, act := range nod.ctl.Step(wld.input(nod)) {
 		switch act := act.(type) {
 		case repair.Propose:
 			wld.append(act.Record)
@@ -306,3 +311,5 @@
 	wld.until(120, "its orders", func() bool { return len(nod.orders) >= 3 })
 	return nod
 }
+
+func groupName(idx int) core.GroupName { return core.GroupName(fmt.Sprint("g", idx)) }
