Prove reloads in a cut zone and the return of a replaced member

A zone cut off from the log reloads a member that came back empty into the same generation, for engines that ignore numbers only while all its nodes agree. The VM of a replaced member stays held until it is seen empty, then serves again. Seen to fail with the folded holds left out of the input (the returned VM is proposed again and again and refused).

--- a/core/repair/world_test.go
+++ b/core/repair/world_test.go
@@ -123,11 +123,22 @@
 		nod.state.Apply(ent)
 	}
 	nod.gte.Assign(nod.state.Assignments())
-	if !nod.noLog {
+	if !nod.noLog || wld.agrees(nod) {
 		nod.confirmed = wld.now
 	}
 }
 
+// agrees reports whether every peer of the node answers it and has folded the
+// log as far.
+func (wld *world) agrees(nod *node) bool {
+	for _, per := range wld.nodes {
+		if per.paused || per.noPeers || per.state.Offset() != nod.state.Offset() {
+			return false
+		}
+	}
+	return true
+}
+
 func (wld *world) probe(nod *node) {
 	for _, vmx := range wld.vms {
 		if eng := wld.engines[vmx.Name]; eng.Answers() {
@@ -142,7 +153,7 @@
 // input returns what the node knows.
 func (wld *world) input(nod *node) repair.Input {
 	return repair.Input{
-		Now: wld.now, Zone: "z", Proposer: nod.proposer, LogOK: !nod.noLog, ZoneAgrees: !nod.noPeers && !nod.noLog, Confirmed: nod.confirmed,
+		Now: wld.now, Zone: "z", Proposer: nod.proposer, LogOK: !nod.noLog, ZoneAgrees: wld.agrees(nod), Confirmed: nod.confirmed,
 		Assignments: nod.state.Assignments(), Holds: nod.state.Holds(), Wanted: wld.wanted, VMs: wld.vms,
 		Sights: nod.gte.Sights(), Draining: wld.draining, Fencing: wld.fencing, InFlight: wld.inFlight,
 		Weights: repair.Weights{Downtime: 1, Stranded: 1, ReturnWait: 20 * time.Second, Lease: lease, Bound: bound},
