Hold forwarded answers to the same checks; go on when a once caller leaves

A request that must not be repeated and was forwarded in another zone left its driver with nothing to wait for when its caller went away: the driver panicked. Found by taking out the detached context; the end of a caller is now put before the failure that it caused, never in its place. Seen to fail with each check taken out. The test of a crossed head let the engines refuse the order and so never reached the check of the head: it now freezes a former incarnation.

--- a/serve/drive.go
+++ b/serve/drive.go
@@ -153,16 +153,19 @@
 	return drv.orEnded(ctx, ev)
 }
 
-// orEnded replaces a failure that the end of the request's own context caused.
+// orEnded puts the end of the request's own context, if it caused a failure,
+// before it. What surely did not run stays so.
 func (drv *drive) orEnded(ctx context.Context, ev flight.Event) flight.Event {
-	if ctx.Err() == nil || (ev.Kind != flight.EventBroken && ev.Kind != flight.EventNotRun) {
+	switch {
+	case ctx.Err() == nil:
 		return ev
-	}
-	if ev.Kind == flight.EventNotRun {
+	case ev.Kind == flight.EventNotRun:
 		drv.step(ev)
-		ev = flight.Event{}
+		return endEvent(ctx)
+	case ev.Kind == flight.EventBroken:
+		drv.step(endEvent(ctx))
 	}
-	return endEvent(ctx)
+	return ev
 }
 
 func endEvent(ctx context.Context) flight.Event {
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -25,10 +25,11 @@
 	kind := flight.EventBroken
 	switch {
 	case drv.away:
+		// A request that must not be repeated goes on without its caller: its
+		// attempt ends with the event below.
 		drv.away = false
 		drv.snk = deafSink{}
 		drv.step(flight.Event{Kind: flight.EventGone})
-		return
 	case err == nil:
 		code = core.CodeCutAnswer
 		drv.detail = "forwarded answer has no end"
--- a/serve/rig_test.go
+++ b/serve/rig_test.go
@@ -185,6 +185,10 @@
 	}
 	srv := serve.New(cfg)
 	rg.t.Cleanup(func() {
+		for num := range rg.engines {
+			rg.engines[num].SetFault(stand.EngineFault{})
+			rg.plains[num].SetFault(stand.PlainFault{})
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), deadline)
 		defer cancel()
 		_ = srv.Drain(ctx)
--- a/serve/whole_test.go
+++ b/serve/whole_test.go
@@ -57,7 +57,7 @@
 			run(t, rg, srv, completionJob(), tt.code)
 		})
 	}
-	t.Run("another assignment answers", crossedHead)
+	t.Run("another process answers", crossedHead)
 	t.Run("group lost in the middle", lostGroup)
 	t.Run("from a position", func(t *testing.T) {
 		rg := newRig(t)
@@ -98,25 +98,19 @@
 	}
 }
 
-// crossedHead lets another assignment answer than the gate knows of: nothing
-// of the answer is passed on.
+// crossedHead lets another process answer than the gate knows of: nothing of
+// the answer is passed on.
 func crossedHead(t *testing.T) {
 	rg := newRig(t)
 	srv := rg.node("n1", "r1")
 	for num := range rg.engines {
 		per, err := rg.Permit(group(num), time.Now())
 		assert.NilError(t, err)
+		per.Incarnation = "former"
 		rg.frozen[group(num)] = per
-		rg.load(num, 7, core.Spec{Model: "m", Version: "2", Role: core.RoleBoth})
 	}
-	// The engines refuse an order number that is not theirs; only the head
-	// tells if they do not.
-	job := completionJob()
-	rec := &recorder{}
-	err := srv.Run(context.Background(), job, rec)
-	assert.Assert(t, err != nil)
+	rec := run(t, rg, srv, completionJob(), core.CodeCrossedAnswer)
 	assert.Equal(t, len(rec.parts), 0)
-	check(t, rg, job, rec, err)
 }
 
 func lostGroup(t *testing.T) {
@@ -153,10 +147,7 @@
 	rg := newRig(t)
 	srv := rg.node("n1", "r1")
 	rng := rand.New(rand.NewPCG(1, 2))
-	var names []string
-	for _, name := range []string{"none", "crossed", "cut", "no end", "gap", "refuses", "silent old"} {
-		names = append(names, name)
-	}
+	names := []string{"none", "crossed", "cut", "no end", "gap", "refuses", "silent old"}
 	for range 20 {
 		for _, eng := range rg.engines {
 			eng.SetFault(engineFaults[names[rng.IntN(len(names))]].fault)
