--- /dev/null
+++ b/serve/bench_test.go
@@ -0,0 +1,232 @@
+package serve_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/io/engine"
+	"kumquathinge/serve"
+)
+
+// countSink counts tokens and notes when the first came.
+type countSink struct {
+	tokens int
+	first  time.Time
+}
+
+// Part counts a part.
+func (cnt *countSink) Part(prt core.Part) error {
+	if cnt.first.IsZero() {
+		cnt.first = time.Now()
+	}
+	if !prt.End {
+		cnt.tokens++
+	}
+	return nil
+}
+
+// straight sends a completion to the engine without this system and returns
+// the number of lines and when the first token came.
+func straight(b *testing.B, cli *http.Client, addr string, gen core.Generate) (int, time.Time) {
+	b.Helper()
+	data, err := json.Marshal(gen)
+	assert.NilError(b, err)
+	res, err := cli.Post("http://"+addr+"/v1/generate", "application/json", bytes.NewReader(data))
+	assert.NilError(b, err)
+	defer func() { _ = res.Body.Close() }()
+	scn := bufio.NewScanner(res.Body)
+	num := 0
+	var first time.Time
+	for scn.Scan() {
+		num++
+		if num == 2 {
+			first = time.Now()
+		}
+	}
+	return num, first
+}
+
+// newHist returns a histogram of latencies up to ten seconds.
+func newHist() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(10*time.Second), 3)
+}
+
+func reportQuantiles(b *testing.B, name string, hist *hdrhistogram.Histogram) {
+	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1e3, name+"-p50-us")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1e3, name+"-p99-us")
+}
+
+// BenchmarkFirstToken measures the time to the first token, in turns straight
+// from the engine's stand-in and through a Server.
+func BenchmarkFirstToken(b *testing.B) {
+	rg := newRig(b)
+	srv := rg.node("n1", "r1")
+	rg.missing["g1"] = true
+	prb := rg.engines[0].Probe()
+	cli := &http.Client{}
+	direct, through := newHist(), newHist()
+	num := 0
+	for b.Loop() {
+		num++
+		job := completionJob()
+		job.MaxTokens = 1
+		gen := core.Generate{
+			Attempt: core.AttemptID(job.ID), Request: job.ID, Group: prb.Group, Order: prb.Order, Prompt: job.Prompt, MaxTokens: 1,
+		}
+		begin := time.Now()
+		_, first := straight(b, cli, rg.engines[0].Addr(), gen)
+		assert.NilError(b, direct.RecordValue(int64(first.Sub(begin))))
+		snk := &countSink{}
+		begin = time.Now()
+		assert.NilError(b, srv.Run(context.Background(), job, snk))
+		assert.NilError(b, through.RecordValue(int64(snk.first.Sub(begin))))
+	}
+	reportQuantiles(b, "straight", direct)
+	reportQuantiles(b, "through", through)
+}
+
+// BenchmarkRequests measures requests of one token with ten callers, straight
+// from the engine's stand-in and through a Server.
+func BenchmarkRequests(b *testing.B) {
+	rg := newRig(b)
+	srv := rg.node("n1", "r1")
+	rg.missing["g1"] = true
+	prb := rg.engines[0].Probe()
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	arms := map[string]func(job core.Job){
+		"straight": func(job core.Job) {
+			straight(b, cli, rg.engines[0].Addr(), core.Generate{
+				Attempt: core.AttemptID(job.ID), Request: job.ID, Group: prb.Group, Order: prb.Order, Prompt: job.Prompt, MaxTokens: 1,
+			})
+		},
+		"through": func(job core.Job) { assert.Check(b, srv.Run(context.Background(), job, &countSink{}) == nil) },
+	}
+	for _, name := range []string{"straight", "through", "straight", "through"} {
+		b.Run(name, func(b *testing.B) {
+			b.RunParallel(func(pbn *testing.PB) {
+				for pbn.Next() {
+					job := completionJob()
+					job.MaxTokens = 1
+					arms[name](job)
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+		})
+	}
+}
+
+const (
+	cannedTokens  = 1000
+	cannedAttempt = "@@@"
+)
+
+// canned is an engine that answers with prepared bytes, so that its own cost
+// is small beside the client's.
+func canned(b *testing.B) string {
+	b.Helper()
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	_ = enc.Encode(core.Chunk{Attempt: cannedAttempt, Head: true, Incarnation: "i", Order: 1, Spec: spec})
+	for pos := range cannedTokens {
+		_ = enc.Encode(core.Chunk{Attempt: cannedAttempt, Pos: pos, Text: "word "})
+	}
+	_ = enc.Encode(core.Chunk{Attempt: cannedAttempt, Pos: cannedTokens, End: true, Tokens: cannedTokens, Reason: "length"})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			raw, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go answerCanned(raw, buf.Bytes())
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func answerCanned(raw net.Conn, data []byte) {
+	defer func() { _ = raw.Close() }()
+	rdr := bufio.NewReader(raw)
+	for {
+		req, err := http.ReadRequest(rdr)
+		if err != nil {
+			return
+		}
+		var gen core.Generate
+		if json.NewDecoder(req.Body).Decode(&gen) != nil {
+			return
+		}
+		bod := bytes.ReplaceAll(data, []byte(cannedAttempt), []byte(gen.Attempt))
+		_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(bod))
+		_, _ = raw.Write(bod)
+	}
+}
+
+// oneEngine is a zone with one group whose engine is canned.
+type oneEngine struct {
+	*rig
+	eng core.Engine
+}
+
+// Engine returns the engine.
+func (one *oneEngine) Engine(core.VMName) (core.Engine, error) { return one.eng, nil }
+
+// Permit gives the right to dispatch.
+func (one *oneEngine) Permit(grp core.GroupName, now time.Time) (core.Permit, error) {
+	return core.Permit{Group: grp, Order: 1, Spec: spec, Incarnation: "i", Given: now}, nil
+}
+
+// BenchmarkTokens measures streamed tokens with one caller for each core:
+// lines read straight from the connection, and tokens through a Server.
+func BenchmarkTokens(b *testing.B) {
+	addr := canned(b)
+	rg := newRig(b)
+	eng := engine.New(addr, engine.Config{})
+	defer eng.Close()
+	one := &oneEngine{rig: rg, eng: eng}
+	srv := rg.node("n1", "r1", func(cfg *serve.Config) { cfg.Backends, cfg.Gate = one, one })
+	cli := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	arms := map[string]func(job core.Job) int{
+		"straight": func(job core.Job) int {
+			num, _ := straight(b, cli, addr, core.Generate{Attempt: core.AttemptID(job.ID)})
+			return num - 2
+		},
+		"through": func(job core.Job) int {
+			snk := &countSink{}
+			err := srv.Run(context.Background(), job, snk)
+			assert.Check(b, err == nil, "%v", err)
+			return snk.tokens
+		},
+	}
+	for _, name := range []string{"straight", "through", "straight", "through"} {
+		b.Run(name, func(b *testing.B) {
+			var toks atomic.Int64
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			b.RunParallel(func(pbn *testing.PB) {
+				for pbn.Next() {
+					toks.Add(int64(arms[name](completionJob())))
+				}
+			})
+			runtime.ReadMemStats(&after)
+			num := float64(toks.Load())
+			b.ReportMetric(num/b.Elapsed().Seconds(), "tok/s")
+			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/num, "allocs/tok")
+		})
+	}
+}
