--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"kumquathinge/core"
@@ -13,69 +14,26 @@
 	org     *org
 	pool    *pool
 	flow    *flow
+	due     time.Time // orders the items of one organisation and priority
 	running bool
 	started time.Time
 }
 
-// flow is one organisation's waiting items for one model.
-type flow struct {
-	org     *org
-	queues  [][]*entry // by priority, oldest first
-	items   int
-	backlog float64 // tokens
-	tag     float64 // tokens per weight
-	index   int     // in pool.active, or -1
-}
-
-// top returns the most urgent priority that has items. It panics if there is
-// none.
-func (flw *flow) top() int {
-	for pri := len(flw.queues) - 1; pri >= 0; pri-- {
-		if len(flw.queues[pri]) > 0 {
-			return pri
-		}
-	}
-	panic("admit: top of an empty flow")
-}
-
-// bottom returns the newest item of the least urgent priority. It panics if
-// there is none.
-func (flw *flow) bottom() *entry {
-	for _, que := range flw.queues {
-		if len(que) > 0 {
-			return que[len(que)-1]
-		}
-	}
-	panic("admit: bottom of an empty flow")
-}
-
-// ahead returns the tokens that wait at the priority or a more urgent one.
-func (flw *flow) ahead(pri int) float64 {
-	if pri == 0 {
-		return flw.backlog
-	}
-	var sum float64
-	for _, que := range flw.queues[pri:] {
-		for _, ent := range que {
-			sum += ent.item.Cost
-		}
-	}
-	return sum
-}
-
 // pool is one model's slots, its waiting items and its observed service.
 type pool struct {
-	model   core.ModelName
-	slots   int
-	running int
-	waiting int
-	backlog float64 // tokens
-	weights float64 // sum over the active flows
-	vtime   float64
-	flows   map[core.OrgName]*flow
-	active  []*flow // those with waiting items
-	meanDur float64 // seconds that an item runs
-	meanTok float64 // tokens of an item
+	model    core.ModelName
+	slots    int
+	depth    int // items that may wait
+	running  int
+	waiting  int
+	backlog  float64 // work
+	weights  float64 // sum over the active flows
+	vtime    float64
+	credit   float64
+	flows    map[core.OrgName]*flow
+	active   []*flow // those with waiting items
+	meanDur  float64 // seconds that an item runs
+	meanWork float64 // of an item
 }
 
 func (pol *pool) flow(og *org, priorities int) *flow {
@@ -87,21 +45,28 @@
 	return flw
 }
 
-func (pol *pool) push(ent *entry) {
+func (pol *pool) push(ent *entry, now time.Time) {
 	flw := ent.flow
 	if flw.items == 0 {
-		flw.tag = math.Max(flw.tag, pol.vtime)
+		flw.tag = pol.start(flw)
+		flw.since, flw.at, flw.served = now, now, 0
 		flw.index = len(pol.active)
 		pol.active = append(pol.active, flw)
 		pol.weights += flw.org.weight()
 	}
 	pri := ent.item.Priority
-	flw.queues[pri] = append(flw.queues[pri], ent)
+	flw.queues[pri] = insert(flw.queues[pri], ent)
 	flw.items++
-	flw.backlog += ent.item.Cost
+	flw.backlog += ent.item.Work
 	flw.org.waiting++
 	pol.waiting++
-	pol.backlog += ent.item.Cost
+	pol.backlog += ent.item.Work
+}
+
+// start returns the tag of a flow that begins to compete: what it had, but no
+// further back than the credit.
+func (pol *pool) start(flw *flow) float64 {
+	return math.Max(flw.tag, pol.vtime-pol.credit)
 }
 
 // remove takes a waiting item out of its queue.
@@ -110,10 +75,10 @@
 	pri := ent.item.Priority
 	flw.queues[pri] = without(flw.queues[pri], ent)
 	flw.items--
-	flw.backlog -= ent.item.Cost
+	flw.backlog -= ent.item.Work
 	flw.org.waiting--
 	pol.waiting--
-	pol.backlog -= ent.item.Cost
+	pol.backlog -= ent.item.Work
 	if flw.items > 0 {
 		return
 	}
@@ -130,6 +95,15 @@
 	}
 }
 
+// insert puts ent behind the items that are due no later.
+func insert(que []*entry, ent *entry) []*entry {
+	pos := len(que)
+	for pos > 0 && ent.due.Before(que[pos-1].due) {
+		pos--
+	}
+	return slices.Insert(que, pos, ent)
+}
+
 func without(que []*entry, ent *entry) []*entry {
 	if que[0] == ent {
 		que[0] = nil
@@ -151,7 +125,7 @@
 	least := math.Inf(1)
 	for _, flw := range pol.active {
 		if flw.org.blocked() {
-			flw.tag = math.Max(flw.tag, pol.vtime)
+			flw.tag = pol.start(flw)
 			continue
 		}
 		least = math.Min(least, flw.tag)
@@ -202,31 +176,34 @@
 	return best
 }
 
+// spare reports whether at least half of the slots are free.
+func (pol *pool) spare() bool { return 2*pol.running < pol.slots || pol.running == 0 }
+
 // observe takes in how long an item ran.
-func (pol *pool) observe(tokens float64, dur time.Duration, gain float64) {
-	if pol.meanTok == 0 {
-		pol.meanTok, pol.meanDur = tokens, dur.Seconds()
+func (pol *pool) observe(work float64, dur time.Duration, gain float64) {
+	if pol.meanWork == 0 {
+		pol.meanWork, pol.meanDur = work, dur.Seconds()
 		return
 	}
-	pol.meanTok += gain * (tokens - pol.meanTok)
+	pol.meanWork += gain * (work - pol.meanWork)
 	pol.meanDur += gain * (dur.Seconds() - pol.meanDur)
 }
 
-// service returns the seconds that an item of the cost is expected to run,
+// service returns the seconds that an item of so much work is expected to run,
 // zero if nothing was observed.
-func (pol *pool) service(cost float64) float64 {
-	if pol.meanTok <= 0 {
+func (pol *pool) service(work float64) float64 {
+	if pol.meanWork <= 0 {
 		return 0
 	}
-	return cost * pol.meanDur / pol.meanTok
+	return work * pol.meanDur / pol.meanWork
 }
 
 // delay returns the seconds that an item of flw is expected to wait behind
-// the tokens ahead of it, zero if nothing was observed or no slot exists. An
+// the work ahead of it, zero if nothing was observed or no slot exists. An
 // organisation gets at least its weight's part of the rate, and never waits
 // longer than for everything that waits.
 func (pol *pool) delay(flw *flow, ahead float64) float64 {
-	if pol.meanTok <= 0 || pol.slots == 0 || pol.running < pol.slots {
+	if pol.meanWork <= 0 || pol.slots == 0 || pol.running < pol.slots {
 		return 0
 	}
 	wgt := flw.org.weight()
@@ -234,7 +211,13 @@
 	if flw.items == 0 {
 		sum += wgt
 	}
-	lag := math.Max(0, flw.tag-pol.vtime) * wgt
-	mine := (ahead + lag) * sum / wgt
-	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanTok / float64(pol.slots)
+	lag := (pol.start(flw) - pol.vtime) * wgt
+	mine := math.Max(0, ahead+lag) * sum / wgt
+	return math.Min(mine, pol.backlog) * pol.meanDur / pol.meanWork / float64(pol.slots)
+}
+
+// turn returns the mean time between two slots that become free, zero if
+// nothing was observed.
+func (pol *pool) turn() time.Duration {
+	return seconds(pol.meanDur / math.Max(1, float64(pol.slots)))
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -33,8 +33,11 @@
 	Models() []core.ModelName
 	// Run runs a job; its error carries the result code.
 	Run(ctx context.Context, job core.Job, snk core.Sink) error
-	// Ready returns core.CodeOK if the node takes requests.
+	// Ready returns core.CodeOK if the balancer shall send requests here.
 	Ready() core.Code
+	// Accepts returns core.CodeOK if a request that comes is served. A node
+	// that has just turned unready still accepts.
+	Accepts() core.Code
 }
 
 // Config has the bounds of the server.
@@ -54,11 +57,14 @@
 	now func() time.Time
 	srv *fasthttp.Server
 	res *expvar.Map
+	ctx context.Context
+	cut context.CancelFunc
 }
 
 // New returns a server. Counters of results by code go to met.
 func New(cfg Config, bck Backend, log *logrus.Logger, met *expvar.Map, now func() time.Time) *Server {
-	srv := &Server{cfg: cfg, bck: bck, log: log, now: now, res: met}
+	ctx, cut := context.WithCancel(context.Background())
+	srv := &Server{cfg: cfg, bck: bck, log: log, now: now, res: met, ctx: ctx, cut: cut}
 	rou := router.New()
 	rou.POST("/v1/completions", srv.completions)
 	rou.POST("/v1/chat/completions", srv.chat)
@@ -82,9 +88,12 @@
 // Serve takes connections from lis until Shutdown.
 func (srv *Server) Serve(lis net.Listener) error { return srv.srv.Serve(lis) }
 
-// Shutdown stops taking connections and waits until the open requests are
-// done or ctx ends.
-func (srv *Server) Shutdown(ctx context.Context) error { return srv.srv.ShutdownWithContext(ctx) }
+// Shutdown stops taking connections, waits until the open requests are done or
+// ctx ends, and cancels the jobs that are left.
+func (srv *Server) Shutdown(ctx context.Context) error {
+	defer srv.cut()
+	return srv.srv.ShutdownWithContext(ctx)
+}
 
 // live answers as long as the process runs.
 func (srv *Server) live(rqc *fasthttp.RequestCtx) {
@@ -129,7 +138,7 @@
 	if err != nil {
 		return core.Job{}, err
 	}
-	if cod := srv.bck.Ready(); cod != core.CodeOK {
+	if cod := srv.bck.Accepts(); cod != core.CodeOK {
 		return core.Job{}, core.Errorf(cod, "this entry VM takes no requests")
 	}
 	lim := srv.bck.Limits(org)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +16,9 @@
 	"kumquathinge/queue"
 )
 
+// hangBound ends a test that would wait without end for a lost slot.
+const hangBound = 10 * time.Second
+
 // start runs a Queue with one slot for model "m" and stops it at the end.
 func start(t *testing.T, cfg queue.Config) (*queue.Queue, func()) {
 	t.Helper()
@@ -89,6 +92,8 @@
 			}
 			tt.end(que, first, leave, stop)
 			assert.Equal(t, core.CodeOf(<-got), tt.want)
+			stop()
+			conserved(t, que)
 		})
 	}
 }
@@ -109,15 +114,26 @@
 	assert.NilError(t, err)
 	_, err = que.Enter(context.Background(), core.Job{Org: "a", Model: "m"})
 	assert.Equal(t, core.CodeOf(err), core.CodeOrgLimit)
-	assert.Assert(t, queue.After(fmt.Errorf("wrapped: %w", err)) > time.Second)
-	assert.Equal(t, queue.After(errors.New("other")), time.Duration(0))
+	assert.Assert(t, core.AfterOf(fmt.Errorf("wrapped: %w", err)) > time.Second)
+}
+
+// TestDepth wants the bound on waiting jobs to hold, and the least to be none.
+func TestDepth(t *testing.T) {
+	que, _ := start(t, queue.Config{})
+	que.SetDepth("m", 0)
+	_, err := que.Enter(context.Background(), core.Job{Model: "m"})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	_, err = que.Enter(ctx, core.Job{Model: "m"})
+	assert.Equal(t, core.CodeOf(err), core.CodeQueueFull)
 }
 
 // TestManyCallers lets callers race, some of which leave, and checks that no
 // more run at once than there are slots and that no slot is lost.
 func TestManyCallers(t *testing.T) {
 	const callers, slots = 64, 3
-	que, _ := start(t, queue.Config{})
+	que, stop := start(t, queue.Config{})
 	que.SetCapacity("m", slots)
 	var mut sync.Mutex
 	var running, most int
@@ -130,7 +146,7 @@
 	var grp sync.WaitGroup
 	for idx := range callers {
 		grp.Go(func() {
-			ctx, cancel := context.WithCancel(context.Background())
+			ctx, cancel := context.WithTimeout(context.Background(), hangBound)
 			defer cancel()
 			if idx%4 == 0 {
 				cancel()
@@ -138,7 +154,7 @@
 			job := core.Job{Org: core.OrgName(fmt.Sprint(idx % 5)), Model: "m", MaxTokens: 10}
 			tkt, err := que.Enter(ctx, job)
 			if err != nil {
-				assert.Check(t, core.CodeOf(err) == core.CodeCallerGone)
+				assert.Check(t, idx%4 == 0 && core.CodeOf(err) == core.CodeCallerGone)
 				return
 			}
 			count(1)
@@ -148,14 +164,74 @@
 	}
 	grp.Wait()
 	assert.Assert(t, most <= slots)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
 	for range slots {
-		_, err := que.Enter(context.Background(), core.Job{Model: "m"})
+		_, err := que.Enter(ctx, core.Job{Model: "m"})
 		assert.NilError(t, err)
 	}
+	stop()
+	conserved(t, que)
+}
+
+// conserved wants each job that entered to be counted once. The Queue must
+// have stopped.
+func conserved(t *testing.T, que *queue.Queue) {
+	t.Helper()
+	cnt := que.Counts()
+	sum := cnt.Admitted + cnt.Cancelled
+	for _, num := range cnt.Refused {
+		sum += num
+	}
+	assert.Equal(t, cnt.Entered, sum)
 }
 
-func TestClassAndCost(t *testing.T) {
-	assert.Equal(t, queue.Class(core.Job{Model: "m"}), core.ModelName("m"))
-	assert.Equal(t, queue.Class(core.Job{Service: "fees"}), core.ModelName("plain/fees"))
-	assert.Equal(t, queue.Cost(core.Job{Prompt: "12345678", MaxTokens: 4}), 7.0)
+// TestPlainService wants the time of a plain call to count in the estimate of
+// the next, though it generates no tokens.
+func TestPlainService(t *testing.T) {
+	var late atomic.Bool
+	now := time.Now()
+	que, _ := start(t, queue.Config{Clock: func() time.Time {
+		if late.Load() {
+			return now.Add(10 * time.Second)
+		}
+		return now
+	}})
+	job := core.Job{Service: "fees"}
+	que.SetCapacity(queue.Class(job), 1)
+	tkt, err := que.Enter(context.Background(), job)
+	assert.NilError(t, err)
+	late.Store(true)
+	tkt.Done(0)
+	_, err = que.Enter(context.Background(), job)
+	assert.NilError(t, err)
+	job.Deadline = now.Add(15 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	_, err = que.Enter(ctx, job)
+	assert.Equal(t, core.CodeOf(err), core.CodeDeadline)
+}
+
+// TestSizes lists jobs with their class, cost and work.
+func TestSizes(t *testing.T) {
+	tests := []struct {
+		name  string
+		job   core.Job
+		class core.ModelName
+		cost  float64
+		work  float64
+	}{
+		{"completion", core.Job{Model: "m", Prompt: string(make([]byte, 128)), MaxTokens: 4}, "m", 4, 6},
+		{"resumed", core.Job{Model: "m", MaxTokens: 100, From: 60}, "m", 40, 41},
+		{"resumed at the end", core.Job{Model: "m", MaxTokens: 100, From: 100}, "m", 1, 1},
+		{"out of range", core.Job{Model: "m", MaxTokens: -5, From: -9}, "m", 1, 1},
+		{"plain call", core.Job{Service: "fees", Body: make([]byte, 256)}, "plain/fees", 1, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, queue.Class(tt.job), tt.class)
+			assert.Equal(t, queue.Cost(tt.job), tt.cost)
+			assert.Equal(t, queue.Work(tt.job), tt.work)
+		})
+	}
 }
