--- a/core/once/machine.go
+++ b/core/once/machine.go
@@ -176,7 +176,7 @@
 	case vie.Abandoned:
 		mac.phase = phaseReleasing
 		mac.do(Action{Kind: ActionRelease, Claim: vie.Offset})
-	case vie.Mine && !vie.Live, vie.HolderGone:
+	case vie.Mine && !vie.Live, !vie.Mine && vie.HolderGone:
 		mac.orphaned(vie)
 	default:
 		mac.giveUp(core.CodeKeyInProgress)
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -36,7 +36,7 @@
 	case code.NotRun() && !fsk.parts:
 		kind = flight.EventNotRun
 	}
-	drv.step(drv.orEnded(ctx, flight.Event{Kind: kind, Attempt: act.Attempt, Code: code, After: After(err)}))
+	drv.step(drv.orEnded(ctx, flight.Event{Kind: kind, Attempt: act.Attempt, Code: code, After: core.AfterOf(err)}))
 }
 
 // forwardSink feeds the parts of a forwarded job to the machine.
--- a/serve/notrun_test.go
+++ b/serve/notrun_test.go
@@ -137,7 +137,7 @@
 	before := rg.ran(job)
 	err := nodes[1].Run(context.Background(), job, &recorder{})
 	assert.Equal(t, core.CodeOf(err), core.CodeQuarantined)
-	assert.Assert(t, serve.After(err) > 0)
+	assert.Assert(t, core.AfterOf(err) > 0)
 	assert.Equal(t, rg.ran(job), before)
 }
 
--- a/serve/once.go
+++ b/serve/once.go
@@ -15,6 +15,7 @@
 
 const (
 	resolveBound    = 2 * time.Minute
+	abandonBound    = 30 * time.Second
 	resolveWaitMin  = 50 * time.Millisecond
 	resolveWaitMax  = 5 * time.Second
 	completionType  = "application/vnd.kumquathinge.completion+json"
@@ -218,7 +219,7 @@
 	}
 	sgl.detail = err.Error()
 	if core.CodeOf(err).NotRun() {
-		return once.Event{Kind: once.EventNotRun, Code: core.CodeOf(err), After: After(err)}
+		return once.Event{Kind: once.EventNotRun, Code: core.CodeOf(err), After: core.AfterOf(err)}
 	}
 	return once.Event{Kind: once.EventUnknown}
 }
--- a/serve/resolve.go
+++ b/serve/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"kumquathinge/core"
 	"kumquathinge/core/once"
@@ -11,12 +12,12 @@
 // resolve proposes the record in the background until the log took it. The
 // claim counts as live meanwhile, and Drain waits.
 func (sgl *single) resolve(ctx context.Context, rec recd.Record) {
-	sgl.background(ctx, func(bctx context.Context) { _ = sgl.propose(bctx, rec) })
+	sgl.background(ctx, resolveBound, func(bctx context.Context) { _ = sgl.propose(bctx, rec) })
 }
 
-// background runs fun beside the job's caller. The claim is live until it
-// returns.
-func (sgl *single) background(ctx context.Context, fun func(ctx context.Context)) {
+// background runs fun beside the job's caller, for the time bound at most. The
+// claim is live until it returns.
+func (sgl *single) background(ctx context.Context, bound time.Duration, fun func(ctx context.Context)) {
 	sgl.kept = true
 	sgl.srv.use(func(boo *books) { boo.jobs++ })
 	go func() {
@@ -24,7 +25,7 @@
 			delete(boo.live, sgl.record)
 			boo.jobDone()
 		})
-		bctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveBound)
+		bctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
 		defer cancel()
 		fun(bctx)
 	}()
@@ -72,7 +73,7 @@
 // if it turns up.
 func (sgl *single) abandon(ctx context.Context) {
 	sgl.srv.use(func(boo *books) { boo.abandon(sgl.record) })
-	sgl.background(ctx, sgl.releaseLate)
+	sgl.background(ctx, abandonBound, sgl.releaseLate)
 }
 
 // releaseLate waits for the abandoned claim and releases it.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -142,8 +142,8 @@
 
 // Run runs the job to its end and writes the parts of its answer to snk. It
 // returns nil once the last part, which has End set, was written. Otherwise
-// the error carries the result code, no part with End was written, and After
-// returns the time after which a retry may succeed.
+// the error carries the result code and the time after which a retry may
+// succeed (core.AfterOf), and no part with End was written.
 func (srv *Server) Run(ctx context.Context, job core.Job, snk core.Sink) error {
 	pol := withDefaults(srv.cfg.Policy(job))
 	now := srv.cfg.Now()
