Secure peers and operators by mutual TLS

Cause: the start file took a "tls" section that nothing used. Ruled out: client certificates in place of the operators' keys (they tell machines, not operators); plain listeners on addresses that others reach (the start file is refused unless peers and operators are on loopback). Failed handshakes and the like, which the servers wrote to stderr raw (up to several thousand bytes a line), are events of the log, bounded in length.

--- a/cmd/kumquathinged/main.go
+++ b/cmd/kumquathinged/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
@@ -25,7 +26,7 @@
 // options are the flags of the daemon.
 type options struct {
 	Config string `long:"config" short:"c" required:"true" value-name:"FILE" description:"start file in JSON"`
-	Check  bool   `long:"check" description:"check the start file and exit"`
+	Check  bool   `long:"check" description:"check the start file and the files that it names, and exit"`
 	Level  string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warning" choice:"error" description:"lowest level that is logged"`
 }
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		return usage(err)
 	}
-	cfg, err := node.ReadConfig(opt.Config)
+	cfg, err := check(opt.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
@@ -55,6 +56,16 @@
 	return exitOK
 }
 
+// check reads the start file and the files that it names.
+func check(path string) (node.Config, error) {
+	cfg, err := node.ReadConfig(path)
+	if err != nil {
+		return cfg, err
+	}
+	_, err = cfg.TLS.Load(time.Now())
+	return cfg, err
+}
+
 // usage prints help or a flag error.
 func usage(err error) int {
 	var fer *flags.Error
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -28,6 +29,8 @@
 	Silence time.Duration
 	// Dialer opens connections; nil stands for TCP.
 	Dialer Dialer
+	// TLS is used for a base URL that begins with https.
+	TLS *tls.Config
 }
 
 // Dialer opens a connection as net.Dialer.DialContext does.
@@ -53,6 +56,8 @@
 	}
 	tra := &http.Transport{
 		DialContext:         cfg.Dialer,
+		TLSClientConfig:     cfg.TLS,
+		TLSHandshakeTimeout: cfg.Dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
--- a/node/beat.go
+++ b/node/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -80,8 +81,8 @@
 }
 
 // newBeater returns a beater that knows only its own node. Self returns the
-// node's beat and merge takes what a peer's beat says.
-func newBeater(self func() core.Beat, merge func(core.Beat), lst *lister, seeds []string, dial peer.Dialer, log *logrus.Logger, now func() time.Time) *beater {
+// node's beat and merge takes what a peer's beat says. Sec is nil without TLS.
+func newBeater(self func() core.Beat, merge func(core.Beat), lst *lister, seeds []string, dial peer.Dialer, sec *tls.Config, log *logrus.Logger, now func() time.Time) *beater {
 	bet := &beater{
 		self:   self,
 		merge:  merge,
@@ -89,8 +90,8 @@
 		seeds:  seeds,
 		log:    log,
 		now:    now,
-		scheme: "http://",
-		cfg:    peer.Config{Dial: peerDial, Call: peerCall, Silence: peerSilence, Dialer: dial},
+		scheme: scheme(sec),
+		cfg:    peer.Config{Dial: peerDial, Call: peerCall, Silence: peerSilence, Dialer: dial, TLS: sec},
 		heard:  make(chan core.Beat),
 		asks:   make(chan beatAsk),
 		tab: membr.New(self(), membr.Config{
--- a/node/build.go
+++ b/node/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/tls"
 	"expvar"
 	"math/rand/v2"
 	"time"
@@ -43,7 +44,7 @@
 
 // Build wires a node and opens its sockets. Its error carries
 // core.CodeListenFailed if an address can't be listened on, and
-// core.CodeConfigInvalid for a wrong operator.
+// core.CodeConfigInvalid for a wrong operator or file of a certificate.
 func Build(cfg Config, log *logrus.Logger, opts ...Option) (*Node, error) {
 	var opt options
 	for _, set := range opts {
@@ -53,7 +54,7 @@
 	for _, prv := range []any{
 		func() (Config, *logrus.Logger, options) { return cfg, log, opt },
 		func() func() time.Time { return time.Now },
-		newMetrics, newStopper, newListeners, newFacts, newPlatform, newListTask, newBeatTask,
+		newMetrics, newStopper, newTLS, newListeners, newFacts, newPlatform, newListTask, newBeatTask,
 		newStore, newWorlds, newGate, newProbeTask, newQueue, newJobs,
 		newControl, newLimiter, newFront, newAdmin, newOperators, newNode,
 	} {
@@ -99,8 +100,8 @@
 }
 
 // newBeatTask returns the task that exchanges beats.
-func newBeatTask(cfg Config, opt options, fac *facts, lst *lister, log *logrus.Logger, now func() time.Time) *beater {
-	return newBeater(fac.beat, fac.merge, lst, cfg.Seeds, opt.dial, log, now)
+func newBeatTask(cfg Config, opt options, fac *facts, lst *lister, sec *tls.Config, log *logrus.Logger, now func() time.Time) *beater {
+	return newBeater(fac.beat, fac.merge, lst, cfg.Seeds, opt.dial, sec, log, now)
 }
 
 // newStore returns the task that owns the folded state.
--- a/node/config.go
+++ b/node/config.go
@@ -46,7 +46,9 @@
 }
 
 // TLS names the PEM files of the node's key and certificate and of the
-// authority that signs its peers. All are empty or none is.
+// authority that signs its peers and operators. All are empty or none is; they
+// may be empty only if peers and operators are listened for on a loopback
+// address.
 type TLS struct {
 	Cert string `json:"cert" validate:"required_with=Key CA"`
 	Key  string `json:"key" validate:"required_with=Cert CA"`
@@ -77,7 +79,7 @@
 	}
 	err = newValidator().Struct(cfg)
 	if err == nil {
-		return cfg, nil
+		return cfg, checkOpen(cfg)
 	}
 	var fes validator.ValidationErrors
 	if !errors.As(err, &fes) {
--- a/node/listen.go
+++ b/node/listen.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"crypto/tls"
 	"net"
 
 	"kumquathinge/core"
@@ -11,8 +12,9 @@
 	callers, operators, peers, metrics net.Listener
 }
 
-// newListeners opens the sockets. Its error carries core.CodeListenFailed.
-func newListeners(cfg Config) (*listeners, error) {
+// newListeners opens the sockets, those for operators and peers with TLS if
+// there is a configuration. Its error carries core.CodeListenFailed.
+func newListeners(cfg Config, sec *tls.Config) (*listeners, error) {
 	lis := &listeners{}
 	adr := cfg.Listen
 	for _, itm := range []struct {
@@ -31,6 +33,8 @@
 		}
 		*itm.to = got
 	}
+	lis.operators = secure(lis.operators, sec)
+	lis.peers = secure(lis.peers, sec)
 	return lis, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -102,18 +102,24 @@
 		defer cancel()
 		_ = nod.fro.Shutdown(ctx)
 	})
+	nod.ope.Logger = serverLog{log: nod.log, server: "operators"}
 	grp.Add(func() error { return nod.ope.Serve(lis.operators) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = nod.ope.ShutdownWithContext(ctx)
 	})
-	addHTTP(grp, lis.peers, peer.Handler(&peerBackend{nod: nod}, peerKeepAlive))
-	addHTTP(grp, lis.metrics, nod.metrics())
+	nod.addHTTP(grp, "peers", lis.peers, peer.Handler(&peerBackend{nod: nod}, peerKeepAlive))
+	nod.addHTTP(grp, "metrics", lis.metrics, nod.metrics())
 }
 
-// addHTTP adds a server on lis.
-func addHTTP(grp *run.Group, lis net.Listener, hdl http.Handler) {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+// addHTTP adds the server of the name on lis.
+func (nod *Node) addHTTP(grp *run.Group, nam string, lis net.Listener, hdl http.Handler) {
+	srv := &http.Server{
+		Handler:           hdl,
+		ReadHeaderTimeout: readTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          serverLog{log: nod.log, server: nam}.standard(),
+	}
 	grp.Add(func() error {
 		err := srv.Serve(lis)
 		if eris.Is(err, http.ErrServerClosed) {
--- a/node/nodets/call.go
+++ b/node/nodets/call.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"kumquathinge/core"
 	"kumquathinge/io/front"
 	"kumquathinge/io/oper"
@@ -26,18 +28,41 @@
 // Status returns what an entry VM tells operators.
 func (sys *System) Status(mem *Member) (oper.Status, error) {
 	var sta oper.Status
-	return sta, getJSON("http://"+mem.Addrs.Operators+"/v1/status", &sta)
+	return sta, sys.oper.getJSON(mem, "/v1/status", &sta)
 }
 
 // Settings returns the settings in force at an entry VM.
 func (sys *System) Settings(mem *Member, pth string) (oper.Settings, error) {
 	var got oper.Settings
-	return got, getJSON("http://"+mem.Addrs.Operators+"/v1/settings?path="+url.QueryEscape(pth), &got)
+	return got, sys.oper.getJSON(mem, "/v1/settings?path="+url.QueryEscape(pth), &got)
+}
+
+// operator calls the operators' interface of entry VMs.
+type operator struct {
+	cli    *http.Client
+	scheme string
+}
+
+// newOperator returns an operator with the system's certificate, if any.
+func (sys *System) newOperator() operator {
+	sys.tst.Helper()
+	sec, err := sys.cfg.TLS.Load(time.Now())
+	assert.NilError(sys.tst, err)
+	if sec == nil {
+		return operator{cli: client, scheme: "http://"}
+	}
+	tra := &http.Transport{DisableKeepAlives: true, TLSClientConfig: sec}
+	return operator{cli: &http.Client{Timeout: awaitBound, Transport: tra}, scheme: "https://"}
+}
+
+// url returns the URL of a path at an entry VM.
+func (opr operator) url(mem *Member, pth string) string {
+	return opr.scheme + mem.Addrs.Operators + pth
 }
 
 // getJSON reads a JSON answer.
-func getJSON(adr string, val any) error {
-	res, err := client.Get(adr)
+func (opr operator) getJSON(mem *Member, pth string, val any) error {
+	res, err := opr.cli.Get(opr.url(mem, pth))
 	if err != nil {
 		return err
 	}
@@ -59,12 +84,12 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+mem.Addrs.Operators+"/v1/settings", bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPut, sys.oper.url(mem, "/v1/settings"), bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	res, err := client.Do(req)
+	res, err := sys.oper.cli.Do(req)
 	if err != nil {
 		return err
 	}
--- a/node/nodets/member.go
+++ b/node/nodets/member.go
@@ -26,7 +26,7 @@
 // AddMember starts an entry VM.
 func (sys *System) AddMember(nam core.NodeName, zon core.Zone) *Member {
 	sys.tst.Helper()
-	cfg := node.Config{Node: nam, Zone: zon, Log: sys.Log.Addr(), VMs: sys.List.Addr()}
+	cfg := node.Config{Node: nam, Zone: zon, Log: sys.Log.Addr(), VMs: sys.List.Addr(), TLS: sys.cfg.TLS}
 	for _, mem := range sys.Members {
 		cfg.Seeds = append(cfg.Seeds, mem.Addrs.Peers)
 	}
--- a/node/nodets/system.go
+++ b/node/nodets/system.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"kumquathinge/core"
+	"kumquathinge/node"
 	"kumquathinge/stand"
 )
 
@@ -43,6 +44,8 @@
 	// Program is the daemon's program. If it is set, each entry VM is a
 	// process of its own, which a test can kill and freeze but not cut off.
 	Program string
+	// TLS names the files of every entry VM and of the operator.
+	TLS node.TLS
 	// Verbose writes the log of the entry VMs to the test's output.
 	Verbose bool
 }
@@ -59,6 +62,7 @@
 	cfg  Config
 	vms  []core.VM
 	cuts *cuts
+	oper operator
 }
 
 // Cut cuts a zone off, or heals it with the zero Cut.
@@ -79,6 +83,7 @@
 		cfg:     cfg,
 		cuts:    newCuts(),
 	}
+	sys.oper = sys.newOperator()
 	sys.startStandIns()
 	for idx, zon := range []core.Zone{"z1", "z1", "z2", "z3"} {
 		sys.AddMember(core.NodeName(fmt.Sprintf("e%d", idx+1)), zon)
