--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,7 @@
 	prb *prober
 	ctl *controller
 	lim *limiter
+	cac *cacher
 	sto *store.Store
 	que *queue.Queue
 	jbs *jobs
@@ -50,12 +51,12 @@
 // newNode collects the parts.
 func newNode(
 	cfg Config, log *logrus.Logger, met *expvar.Map, stp *stopper, lst *lister,
-	bet *beater, prb *prober, ctl *controller, lim *limiter, sto *store.Store,
+	bet *beater, prb *prober, ctl *controller, lim *limiter, cac *cacher, sto *store.Store,
 	que *queue.Queue, jbs *jobs, wls *worlds, fro *front.Server, ope *fasthttp.Server, fac *facts, lis *listeners,
 ) *Node {
 	return &Node{
 		cfg: cfg, log: log, met: met, stp: stp, lst: lst,
-		bet: bet, prb: prb, ctl: ctl, lim: lim, sto: sto,
+		bet: bet, prb: prb, ctl: ctl, lim: lim, cac: cac, sto: sto,
 		que: que, jbs: jbs, wls: wls, fro: fro, ope: ope, fac: fac, lis: lis,
 	}
 }
@@ -68,7 +69,7 @@
 	var grp run.Group
 	for _, tsk := range []func(context.Context) error{
 		nod.lst.run, nod.bet.run, nod.sto.Run, nod.prb.run,
-		nod.que.Run, nod.lim.run, nod.ctl.run, nod.report,
+		nod.que.Run, nod.lim.run, nod.cac.run, nod.ctl.run, nod.report,
 	} {
 		addTask(&grp, tsk)
 	}
@@ -102,18 +103,24 @@
 		defer cancel()
 		_ = nod.fro.Shutdown(ctx)
 	})
+	nod.ope.Logger = serverLog{log: nod.log, server: "operators"}
 	grp.Add(func() error { return nod.ope.Serve(lis.operators) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = nod.ope.ShutdownWithContext(ctx)
 	})
-	addHTTP(grp, lis.peers, peer.Handler(&peerBackend{nod: nod}, peerKeepAlive))
-	addHTTP(grp, lis.metrics, nod.metrics())
+	nod.addHTTP(grp, "peers", lis.peers, peer.Handler(&peerBackend{nod: nod}, peerKeepAlive))
+	nod.addHTTP(grp, "metrics", lis.metrics, nod.metrics())
 }
 
-// addHTTP adds a server on lis.
-func addHTTP(grp *run.Group, lis net.Listener, hdl http.Handler) {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+// addHTTP adds the server of the name on lis.
+func (nod *Node) addHTTP(grp *run.Group, nam string, lis net.Listener, hdl http.Handler) {
+	srv := &http.Server{
+		Handler:           hdl,
+		ReadHeaderTimeout: readTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          serverLog{log: nod.log, server: nam}.standard(),
+	}
 	grp.Add(func() error {
 		err := srv.Serve(lis)
 		if eris.Is(err, http.ErrServerClosed) {
