--- a/core/repair/reason.go
+++ b/core/repair/reason.go
@@ -107,6 +107,7 @@
 	cse.Placed = ctl.placeable(vew, wnt, asn, cse.Missing)
 	cse.Reload = ctl.past.load(asn.Spec.Model)
 	cse.Rebuild = ctl.rebuild(vew, wnt, cse.Reload)
+	cse.known = len(ctl.past.returns)
 	cse.beyond = ctl.past.beyond(cse.Gone, vew.in.Weights.ReturnWait)
 	return cse, true
 }
@@ -114,8 +115,7 @@
 // placeable reports whether the free VMs, together with the members that are
 // left, make up the group in one domain.
 func (ctl *Controller) placeable(vew *view, wnt Wanted, asn core.Assignment, missing int) bool {
-	pol := ctl.pool(vew)
-	for dom, vms := range pol.free {
+	for dom, vms := range ctl.look(vew).free {
 		have := len(vms)
 		if dom == asn.Domain {
 			have += len(asn.VMs) - missing
