--- a/cmd/replay/faults.go
+++ b/cmd/replay/faults.go
@@ -34,21 +34,21 @@
 // pauses stop processes for low to high seconds.
 func (wri *writer) pauses(num, low, high int) {
 	for _, at := range wri.instants(num, high) {
-		wri.pause(wri.any(), at, wri.between(low, high))
+		wri.pause(wri.anyVM(), at, wri.between(low, high))
 	}
 }
 
 // restarts end processes that the VM starts again.
 func (wri *writer) restarts(num int) {
 	for _, at := range wri.instants(num, 90) {
-		wri.die(wri.any(), at, wri.between(15, 90))
+		wri.die(wri.anyVM(), at, wri.between(15, 90))
 	}
 }
 
 // losses take VMs away until the platform has replaced them.
 func (wri *writer) losses(num, low, high int) {
 	for _, at := range wri.instants(num, high) {
-		wri.die(wri.any(), at, wri.between(low, high))
+		wri.die(wri.anyVM(), at, wri.between(low, high))
 	}
 }
 
@@ -147,7 +147,7 @@
 // slow makes the loads of VMs take two to five times as long.
 func (wri *writer) slow(num int) {
 	for _, at := range wri.instants(num, hour) {
-		vmn := wri.any()
+		vmn := wri.anyVM()
 		wri.add(trace.Line{Do: trace.KindSlow, At: at, VM: vmn, Factor: float64(2 + wri.rnd.IntN(4))})
 		wri.add(trace.Line{Do: trace.KindSlow, At: at + 2*hour, VM: vmn, Factor: 1})
 	}
--- a/cmd/replay/generate.go
+++ b/cmd/replay/generate.go
@@ -198,7 +198,7 @@
 	return true
 }
 
-func (wri *writer) any() core.VMName { return wri.vms[wri.rnd.IntN(len(wri.vms))].Name }
+func (wri *writer) anyVM() core.VMName { return wri.vms[wri.rnd.IntN(len(wri.vms))].Name }
 
 func (wri *writer) domain(dom core.Domain) []core.VMName {
 	var out []core.VMName
