--- a/core/repair/policy.go
+++ b/core/repair/policy.go
@@ -84,7 +84,7 @@
 type Weighted struct{}
 
 // minReturns is the number of absences from which on experience counts.
-const minReturns = 4
+const minReturns = 6
 
 // Replace waits for ReturnWait until there is experience. From then on it
 // chooses the instant at which to stop waiting: the one with the
