--- a/core/fold/encode.go
+++ b/core/fold/encode.go
@@ -1,8 +1,12 @@
 package fold
 
 import (
+	"bytes"
 	"cmp"
+	"compress/flate"
 	"container/heap"
+	"errors"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +20,8 @@
 // formatVersion is the version of the encoded state.
 const formatVersion uint16 = 1
 
+const maxImageBytes = 256 << 20
+
 // image is the encoded form of a State.
 type image struct {
 	Format  uint16            `cbor:"1,keyasint"`
@@ -73,21 +79,87 @@
 	return out
 }
 
+// Image is a copy of a State that can be encoded while the state changes. Its
+// methods may be called from several goroutines.
+type Image struct {
+	img    image
+	tre    *tree.Tree
+	claims []*Claim
+}
+
+// Image returns a copy of the state. It copies references only: what the state
+// stores is never written again.
+func (sta *State) Image() *Image {
+	img := &Image{
+		img: image{
+			Format: formatVersion, Hash: sta.Hash(), Offset: sta.offset, Now: sta.now, Horizon: sta.horizon,
+			Rules: sta.rules.Sorted(), Groups: sta.Assignments(), Holds: sta.Holds(),
+			Audit: slices.Clip(sta.audit), Snaps: cloneProgress(sta.snaps), SnapAt: sta.snapAt,
+		},
+		tre:    sta.tre,
+		claims: slices.AppendSeq(make([]*Claim, 0, len(sta.claims)), maps.Values(sta.claims)),
+	}
+	for _, id := range sta.queue {
+		img.img.Done = append(img.img.Done, sta.done[id])
+	}
+	return img
+}
+
+// Offset returns the offset of the state that was copied.
+func (img *Image) Offset() core.Offset { return img.img.Offset }
+
 // Encode returns the encoded state. Equal states that one program version
 // folded have equal encodings.
-func (sta *State) Encode() []byte {
-	img := image{
-		Format: formatVersion, Hash: sta.Hash(), Offset: sta.offset, Now: sta.now, Horizon: sta.horizon,
-		Rules: sta.rules.Sorted(), Groups: sta.Assignments(), Holds: sta.Holds(),
-		Claims: sta.sortedClaims(), Audit: sta.audit, Snaps: sta.snaps, SnapAt: sta.snapAt,
+func (img *Image) Encode() []byte {
+	out := img.img
+	for _, pth := range img.tre.Paths() {
+		out.Nodes = append(out.Nodes, imageOf(img.tre, pth))
 	}
-	for _, pth := range sta.tre.Paths() {
-		img.Nodes = append(img.Nodes, imageOf(sta.tre, pth))
+	out.Claims = slices.SortedFunc(slices.Values(img.claims), func(one, two *Claim) int {
+		return cmp.Or(cmp.Compare(one.Org, two.Org), cmp.Compare(one.Key, two.Key))
+	})
+	return pack(encode(out))
+}
+
+// pack compresses data (RFC 1951): names and record IDs repeat a lot.
+func pack(data []byte) []byte {
+	var buf bytes.Buffer
+	wri, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		panic(err)
 	}
-	for _, id := range sta.queue {
-		img.Done = append(img.Done, sta.done[id])
+	_, err = wri.Write(data)
+	if err != nil {
+		panic(err)
 	}
-	return encode(img)
+	err = wri.Close()
+	if err != nil {
+		panic(err)
+	}
+	return buf.Bytes()
+}
+
+// unpack undoes pack. It refuses what unpacks to more than maxImageBytes.
+func unpack(data []byte) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxImageBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(out) > maxImageBytes {
+		return nil, errors.New("more data than a state has")
+	}
+	return out, nil
+}
+
+// Encode returns the encoded state, as Image and its Encode do.
+func (sta *State) Encode() []byte { return sta.Image().Encode() }
+
+func cloneProgress(pros []snapProgress) []snapProgress {
+	out := slices.Clone(pros)
+	for idx := range out {
+		out[idx].Seen = slices.Clone(out[idx].Seen)
+	}
+	return out
 }
 
 func imageOf(tre *tree.Tree, pth tree.Path) imageNode {
@@ -98,14 +170,6 @@
 	return nod
 }
 
-func (sta *State) sortedClaims() []*Claim {
-	out := slices.Collect(maps.Values(sta.claims))
-	slices.SortFunc(out, func(one, two *Claim) int {
-		return cmp.Or(cmp.Compare(one.Org, two.Org), cmp.Compare(one.Key, two.Key))
-	})
-	return out
-}
-
 // Decode returns the state that Encode encoded. Its error carries
 // core.CodeSnapshotBad if data is damaged or needs a newer program.
 func Decode(data []byte) (*State, error) { return DecodeFor(Newest, data) }
@@ -113,7 +177,10 @@
 // DecodeFor is Decode for a program that knows the given versions and rules.
 func DecodeFor(prg Program, data []byte) (*State, error) {
 	var img image
-	err := decMode.Unmarshal(data, &img)
+	raw, err := unpack(data)
+	if err == nil {
+		err = decMode.Unmarshal(raw, &img)
+	}
 	if err != nil {
 		return nil, core.Errorf(core.CodeSnapshotBad, "encoded state can't be read: %v", err)
 	}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,237 @@
+package queue_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"kumquathinge/core"
+	"kumquathinge/core/admit"
+	"kumquathinge/queue"
+)
+
+// hangBound ends a test that would wait without end for a lost slot.
+const hangBound = 10 * time.Second
+
+// start runs a Queue with one slot for model "m" and stops it at the end.
+func start(t *testing.T, cfg queue.Config) (*queue.Queue, func()) {
+	t.Helper()
+	cfg.Tick = time.Millisecond
+	que := queue.New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- que.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	t.Cleanup(stop)
+	que.SetCapacity("m", 1)
+	return que, stop
+}
+
+func waiting(que *queue.Queue, num int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		for _, dep := range que.Depths() {
+			if dep.Waiting == num {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%d waiting not yet seen", num)
+	}
+}
+
+// TestEnterAnswers drives one job that waits behind another to each of its
+// ends, and checks that the slot is free afterwards.
+func TestEnterAnswers(t *testing.T) {
+	tests := []struct {
+		name     string
+		deadline time.Duration
+		end      func(que *queue.Queue, first *queue.Ticket, leave, stop func())
+		want     core.Code
+	}{
+		{name: "admitted once the first is done", want: core.CodeOK,
+			end: func(_ *queue.Queue, first *queue.Ticket, _, _ func()) { first.Done(10) }},
+		{name: "caller gone", want: core.CodeCallerGone,
+			end: func(_ *queue.Queue, _ *queue.Ticket, leave, _ func()) { leave() }},
+		{name: "queue stops", want: core.CodeDraining,
+			end: func(_ *queue.Queue, _ *queue.Ticket, _, stop func()) { stop() }},
+		{name: "deadline passes", deadline: 50 * time.Millisecond, want: core.CodeDeadline,
+			end: func(*queue.Queue, *queue.Ticket, func(), func()) {}},
+		{name: "capacity drops and the first is done", want: core.CodeCallerGone,
+			end: func(que *queue.Queue, first *queue.Ticket, leave, _ func()) {
+				que.SetCapacity("m", 0)
+				first.Done(10)
+				leave()
+			}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			que, stop := start(t, queue.Config{})
+			first, err := que.Enter(context.Background(), core.Job{Model: "m"})
+			assert.NilError(t, err)
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			job := core.Job{Model: "m"}
+			if tt.deadline > 0 {
+				job.Deadline = time.Now().Add(tt.deadline)
+			}
+			got := make(chan error, 1)
+			go func() {
+				_, enterErr := que.Enter(ctx, job)
+				got <- enterErr
+			}()
+			if tt.deadline == 0 {
+				poll.WaitOn(t, waiting(que, 1), poll.WithDelay(time.Millisecond))
+			}
+			tt.end(que, first, leave, stop)
+			assert.Equal(t, core.CodeOf(<-got), tt.want)
+			stop()
+			conserved(t, que)
+		})
+	}
+}
+
+func TestEnterAfterStop(t *testing.T) {
+	que, stop := start(t, queue.Config{})
+	tkt, err := que.Enter(context.Background(), core.Job{Model: "m"})
+	assert.NilError(t, err)
+	stop()
+	tkt.Done(1)
+	_, err = que.Enter(context.Background(), core.Job{Model: "m"})
+	assert.Equal(t, core.CodeOf(err), core.CodeDraining)
+}
+
+func TestRefusalTellsAfter(t *testing.T) {
+	que, _ := start(t, queue.Config{Admit: admit.Config{Default: admit.OrgLimits{Requests: 0.5}}})
+	_, err := que.Enter(context.Background(), core.Job{Org: "a", Model: "m"})
+	assert.NilError(t, err)
+	_, err = que.Enter(context.Background(), core.Job{Org: "a", Model: "m"})
+	assert.Equal(t, core.CodeOf(err), core.CodeOrgLimit)
+	assert.Assert(t, core.AfterOf(fmt.Errorf("wrapped: %w", err)) > time.Second)
+}
+
+// TestDepth wants the bound on waiting jobs to hold, and the least to be none.
+func TestDepth(t *testing.T) {
+	que, _ := start(t, queue.Config{})
+	que.SetDepth("m", 0)
+	_, err := que.Enter(context.Background(), core.Job{Model: "m"})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	_, err = que.Enter(ctx, core.Job{Model: "m"})
+	assert.Equal(t, core.CodeOf(err), core.CodeQueueFull)
+}
+
+// TestManyCallers lets callers race, some of which leave, and checks that no
+// more run at once than there are slots and that no slot is lost.
+func TestManyCallers(t *testing.T) {
+	const callers, slots = 64, 3
+	que, stop := start(t, queue.Config{})
+	que.SetCapacity("m", slots)
+	var mut sync.Mutex
+	var running, most int
+	count := func(num int) {
+		mut.Lock()
+		defer mut.Unlock()
+		running += num
+		most = max(most, running)
+	}
+	var grp sync.WaitGroup
+	for idx := range callers {
+		grp.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+			defer cancel()
+			if idx%4 == 0 {
+				cancel()
+			}
+			job := core.Job{Org: core.OrgName(fmt.Sprint(idx % 5)), Model: "m", MaxTokens: 10}
+			tkt, err := que.Enter(ctx, job)
+			if err != nil {
+				assert.Check(t, idx%4 == 0 && core.CodeOf(err) == core.CodeCallerGone)
+				return
+			}
+			count(1)
+			count(-1)
+			tkt.Done(10)
+		})
+	}
+	grp.Wait()
+	assert.Assert(t, most <= slots)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	for range slots {
+		_, err := que.Enter(ctx, core.Job{Model: "m"})
+		assert.NilError(t, err)
+	}
+	stop()
+	conserved(t, que)
+}
+
+// conserved wants each job that entered to be counted once. The Queue must
+// have stopped.
+func conserved(t *testing.T, que *queue.Queue) {
+	t.Helper()
+	cnt := que.Counts()
+	sum := cnt.Admitted + cnt.Cancelled
+	for _, num := range cnt.Refused {
+		sum += num
+	}
+	assert.Equal(t, cnt.Entered, sum)
+}
+
+// TestPlainService wants the time of a plain call to count in the estimate of
+// the next, though it generates no tokens.
+func TestPlainService(t *testing.T) {
+	var late atomic.Bool
+	now := time.Now()
+	que, _ := start(t, queue.Config{Clock: func() time.Time {
+		if late.Load() {
+			return now.Add(10 * time.Second)
+		}
+		return now
+	}})
+	job := core.Job{Service: "fees"}
+	que.SetCapacity(queue.Class(job), 1)
+	tkt, err := que.Enter(context.Background(), job)
+	assert.NilError(t, err)
+	late.Store(true)
+	tkt.Done(0)
+	_, err = que.Enter(context.Background(), job)
+	assert.NilError(t, err)
+	job.Deadline = now.Add(15 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	defer cancel()
+	_, err = que.Enter(ctx, job)
+	assert.Equal(t, core.CodeOf(err), core.CodeDeadline)
+}
+
+// TestSizes lists jobs with their class, cost and work.
+func TestSizes(t *testing.T) {
+	tests := []struct {
+		name  string
+		job   core.Job
+		class core.ModelName
+		cost  float64
+		work  float64
+	}{
+		{"completion", core.Job{Model: "m", Prompt: string(make([]byte, 128)), MaxTokens: 4}, "m", 4, 6},
+		{"resumed", core.Job{Model: "m", MaxTokens: 100, From: 60}, "m", 40, 41},
+		{"resumed at the end", core.Job{Model: "m", MaxTokens: 100, From: 100}, "m", 1, 1},
+		{"out of range", core.Job{Model: "m", MaxTokens: -5, From: -9}, "m", 1, 1},
+		{"plain call", core.Job{Service: "fees", Body: make([]byte, 256)}, "plain/fees", 1, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, queue.Class(tt.job), tt.class)
+			assert.Equal(t, queue.Cost(tt.job), tt.cost)
+			assert.Equal(t, queue.Work(tt.job), tt.work)
+		})
+	}
+}
--- /dev/null
+++ b/serve/failure.go
@@ -0,0 +1,16 @@
+package serve
+
+import (
+	"time"
+
+	"kumquathinge/core"
+)
+
+// fail returns nil for core.CodeOK and else an error with the code and the
+// time after which a retry may succeed.
+func fail(code core.Code, after time.Duration, detail string) error {
+	if code == core.CodeOK {
+		return nil
+	}
+	return core.AfterError(core.Errorf(code, "%s", detail), after)
+}
