Leave the silence of a stream to its caller's context

The connection's own bound of 10 s cut answers whose setting request.silence allows more, and the wait for a head, which is four times that setting.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -18,6 +18,10 @@
 	defaultProbeSilence = 500 * time.Millisecond
 	defaultMaxLine      = 64 << 10
 
+	// defaultStreamSilence only ends what its caller has forgotten: the caller's
+	// context ends a silent stream.
+	defaultStreamSilence = 15 * time.Minute
+
 	pathProbe    = "/v1/probe"
 	pathOrder    = "/v1/order"
 	pathGenerate = "/v1/generate"
@@ -30,6 +34,8 @@
 	Wire wire.Config
 	// ProbeSilence bounds the wait for the answer to a probe.
 	ProbeSilence time.Duration
+	// StreamSilence bounds the wait for the next byte of an answer to Generate.
+	StreamSilence time.Duration
 	// MaxLine is the length of the longest line of an answer, in bytes.
 	MaxLine int
 }
@@ -48,6 +54,9 @@
 	if cfg.ProbeSilence <= 0 {
 		cfg.ProbeSilence = defaultProbeSilence
 	}
+	if cfg.StreamSilence <= 0 {
+		cfg.StreamSilence = defaultStreamSilence
+	}
 	if cfg.MaxLine <= 0 {
 		cfg.MaxLine = defaultMaxLine
 	}
@@ -98,7 +107,7 @@
 func (eng *Engine) Generate(ctx context.Context, gen core.Generate) (core.Stream, error) {
 	req := newRequest(http.MethodPost, pathGenerate, gen)
 	defer fasthttp.ReleaseRequest(req)
-	bod, err := eng.poo.Open(ctx, wire.Exchange{Req: req})
+	bod, err := eng.poo.Open(ctx, wire.Exchange{Req: req, Silence: eng.cfg.StreamSilence})
 	if err != nil {
 		eng.noteSilence(err)
 		return nil, err
