Forward a request that must not be repeated if no group of the zone may be sent work

Candidates that are incomplete counted as local: the request was claimed, found no group, and was released, instead of going to another zone. Seen to fail without the permit.

--- a/serve/forward_test.go
+++ b/serve/forward_test.go
@@ -124,6 +124,20 @@
 	assert.Equal(t, here.log.claims, 0)
 }
 
+// TestOnceIsForwardedFromIncompleteGroups runs a completion that must not be
+// repeated in another zone if each group of this one lacks a member.
+func TestOnceIsForwardedFromIncompleteGroups(t *testing.T) {
+	here, there := newRig(t), newRig(t)
+	there.log = here.log
+	here.missing["g0"], here.missing["g1"] = true, true
+	oth := &otherZone{srv: there.node("n2", "r1")}
+	srv := here.node("n1", "r1", func(cfg *serve.Config) { cfg.Forwarder = oth })
+	job := completionJob()
+	job.Key, job.Issued = core.RequestKey(job.ID), time.Now()
+	run(t, here, srv, job, core.CodeOK)
+	assert.Equal(t, there.ran(job), 1)
+}
+
 // lateBackends has no server when it is first asked.
 type lateBackends struct {
 	*rig
--- a/serve/once.go
+++ b/serve/once.go
@@ -63,12 +63,19 @@
 	return sgl.run(ctx)
 }
 
-// local reports whether this zone has backend servers for the job.
+// local reports whether this zone has backend servers that may be sent the job.
 func (srv *Server) local(job core.Job) bool {
 	if job.Service != "" {
 		return len(srv.cfg.Backends.Plains(job.Service)) > 0
 	}
-	return len(srv.cfg.Backends.Candidates(job)) > 0
+	now := srv.cfg.Now()
+	for _, cand := range srv.cfg.Backends.Candidates(job) {
+		_, err := srv.cfg.Gate.Permit(cand.Group, now)
+		if err == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // elsewhere forwards a job that was not claimed here. It must not be
