--- a/cmd/kumquathinged/control_bench_test.go
+++ b/cmd/kumquathinged/control_bench_test.go
@@ -16,8 +16,8 @@
 const rigWindow = 6 * time.Second
 
 // measure reports the daemon's processor time, memory and bytes over a window
-// in which during runs.
-func (rig *rig) measure(ben *testing.B, during func()) {
+// in which during runs, and returns them by unit.
+func (rig *rig) measure(ben *testing.B, during func()) map[string]float64 {
 	for _, cnt := range rig.bytes {
 		cnt.Store(0)
 	}
@@ -26,25 +26,33 @@
 	during()
 	<-end
 	took := time.Since(begin).Seconds()
-	ben.ReportMetric(100*(rig.cpu()-spent).Seconds()/took, "%core")
-	total := 0.0
+	out := map[string]float64{"%core": 100 * (rig.cpu() - spent).Seconds() / took}
 	for _, kind := range []string{"peer", "probe", "list", "log"} {
-		per := float64(rig.bytes[kind].Load()) / took / 1000
-		ben.ReportMetric(per, kind+"-KB/s")
-		total += per
+		out[kind+"-KB/s"] = float64(rig.bytes[kind].Load()) / took / 1000
+		out["control-KB/s"] += out[kind+"-KB/s"]
 	}
-	ben.ReportMetric(total, "control-KB/s")
 	got := rig.vars()
-	ben.ReportMetric(float64(got.Mem.HeapAlloc)/1e6, "heap-MB")
-	ben.ReportMetric(rig.resident()/1e6, "resident-MB")
-	ben.ReportMetric(float64(got.Node.Live), "live")
+	out["heap-MB"] = float64(got.Mem.HeapAlloc) / 1e6
+	out["resident-MB"] = rig.resident() / 1e6
+	out["live"] = float64(got.Node.Live)
+	for unit, val := range out {
+		ben.ReportMetric(val, unit)
+	}
 	ben.ReportMetric(0, "ns/op")
+	return out
 }
 
 // BenchmarkControl is what one daemon without requests spends: by entry VMs,
 // by model servers of its zone, by all listed, and by organisations, each
 // alone, and all at the size of the target.
 func BenchmarkControl(ben *testing.B) {
+	fits := map[string]*fit{}
+	note := func(name, unit string, size int, val float64) {
+		if fits[name] == nil {
+			fits[name] = newFit(unit)
+		}
+		fits[name].add(float64(size), val)
+	}
 	for _, cfg := range []rigConfig{
 		{nodes: 1, servers: 8, listed: 8, orgs: 1},
 		{nodes: 4, servers: 8, listed: 8, orgs: 1},
@@ -63,35 +71,57 @@
 		ben.Run(cfg.String(), func(ben *testing.B) {
 			rig := newRig(ben, cfg)
 			for ben.Loop() {
-				rig.measure(ben, func() {})
+				got := rig.measure(ben, func() {})
+				note("list-by-VM", "KB/s", cfg.nodes+cfg.listed, got["list-KB/s"])
+				switch {
+				case cfg.listed == 8 && cfg.orgs == 1:
+					note("cpu-by-node", "%core", cfg.nodes, got["%core"])
+					note("resident-by-node", "MB", cfg.nodes, got["resident-MB"])
+				case cfg.nodes == 1 && cfg.servers == cfg.listed:
+					note("cpu-by-server", "%core", cfg.servers, got["%core"])
+					note("probe-by-server", "KB/s", cfg.servers, got["probe-KB/s"])
+				}
 			}
 		})
 	}
+	for name, fit := range fits {
+		fit.report(ben, name)
+	}
 }
 
 // BenchmarkFollow is what one daemon spends while other entry VMs append
 // claims and results, each record in an entry of its own, and while operators
 // change settings.
 func BenchmarkFollow(ben *testing.B) {
+	cpu, wire := newFit("%core"), newFit("KB/s")
 	for _, cas := range []struct{ claims, changes int }{{0, 0}, {25, 0}, {50, 0}, {100, 0}, {170, 0}, {0, 1}, {0, 10}} {
 		ben.Run(fmt.Sprintf("claims=%d/changes=%d", cas.claims, cas.changes), func(ben *testing.B) {
 			rig := newRig(ben, rigConfig{nodes: 1, servers: 8, listed: 600, orgs: 10})
 			for ben.Loop() {
-				rig.measure(ben, func() {
-					tic := time.NewTicker(time.Second / time.Duration(max(1, cas.claims+cas.changes)))
-					defer tic.Stop()
-					for range int(rigWindow.Seconds()) * (cas.claims + cas.changes) {
-						<-tic.C
-						if cas.changes > 0 {
-							rig.set("/models/m1", "model.capacity", 4000+rand.IntN(1000))
-							continue
-						}
-						rig.claim()
-					}
-				})
+				got := rig.measure(ben, func() { rig.follow(cas.claims, cas.changes) })
+				if cas.changes == 0 {
+					cpu.add(float64(cas.claims), got["%core"])
+					wire.add(float64(cas.claims), got["log-KB/s"])
+				}
 			}
 		})
 	}
+	cpu.report(ben, "cpu-by-claim-a-second")
+	wire.report(ben, "log-by-claim-a-second")
+}
+
+// follow appends for a window what other entry VMs would.
+func (rig *rig) follow(claims, changes int) {
+	tic := time.NewTicker(time.Second / time.Duration(max(1, claims+changes)))
+	defer tic.Stop()
+	for range int(rigWindow.Seconds()) * (claims + changes) {
+		<-tic.C
+		if changes > 0 {
+			rig.set("/models/m1", "model.capacity", 4000+rand.IntN(1000))
+		} else {
+			rig.claim()
+		}
+	}
 }
 
 // claim appends a claim and its result as another entry VM would.
--- a/cmd/kumquathinged/data_bench_test.go
+++ b/cmd/kumquathinged/data_bench_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"kumquathinge/core"
+	"kumquathinge/io/engine"
 	"kumquathinge/io/front"
 )
 
@@ -75,6 +76,30 @@
 	return nil
 }
 
+// direct reads one answer from an engine, past the daemon.
+func (cal *caller) direct(ctx context.Context, eng *engine.Engine, led lead, tokens int) error {
+	last := time.Now()
+	str, err := eng.Generate(ctx, core.Generate{
+		Attempt: core.AttemptID(fmt.Sprint("direct-", rand.Uint64())), Request: "r", Group: led.grp, Order: led.num, Prompt: "a brown dog", MaxTokens: tokens,
+	})
+	if err != nil {
+		return err
+	}
+	defer str.Close()
+	for got := 0; ; {
+		chk, err := str.Next(ctx)
+		if err != nil || chk.End {
+			return err
+		}
+		if !chk.Head {
+			now := time.Now()
+			cal.note(got, now.Sub(last))
+			last = now
+			got++
+		}
+	}
+}
+
 func (cal *caller) note(pos int, dur time.Duration) {
 	cal.mtx.Lock()
 	defer cal.mtx.Unlock()
@@ -88,12 +113,12 @@
 
 // keep holds so many answers open until ctx ends. The first ones are cut short
 // at random, so that answers end evenly over time.
-func (cal *caller) keep(ctx context.Context, open, tokens int) *sync.WaitGroup {
+func (cal *caller) keep(ctx context.Context, open, tokens int, ask func(ctx context.Context, tokens int) error) *sync.WaitGroup {
 	var wgr sync.WaitGroup
 	for range open {
 		wgr.Go(func() {
 			for num := 1 + rand.IntN(tokens); ctx.Err() == nil; num = tokens {
-				err := cal.ask(ctx, num)
+				err := ask(ctx, num)
 				if err != nil && ctx.Err() == nil {
 					cal.mtx.Lock()
 					cal.fails++
@@ -136,14 +161,26 @@
 }
 
 // BenchmarkStreams is one daemon with open answers at the target's pace and
-// length. Without any, it is the daemon's control share.
+// length. Without any, it is the daemon's control share. Direct ones pass by
+// the daemon, for comparison.
 func BenchmarkStreams(ben *testing.B) {
-	for _, open := range []int{0, 25, 50, 100, loadOpen, 2 * loadOpen} {
-		ben.Run(fmt.Sprint("open=", open), func(ben *testing.B) {
+	cpu, mem := newFit("%core"), newFit("MB")
+	for _, open := range []int{0, 25, 50, 100, loadOpen, 2 * loadOpen, -loadOpen} {
+		name := fmt.Sprint("open=", open)
+		if open < 0 {
+			name = fmt.Sprint("direct=", -open)
+		}
+		ben.Run(name, func(ben *testing.B) {
 			rig := newRig(ben, rigConfig{nodes: 4, servers: 16, listed: 600, orgs: 10, token: loadToken})
 			cal := newCaller(rig)
 			ctx, cancel := context.WithCancel(context.Background())
-			wgr := cal.keep(ctx, open, loadTokens)
+			ask := cal.ask
+			if open < 0 {
+				led := rig.leads[0]
+				eng := engine.New(led.addr, engine.Config{})
+				ask = func(ctx context.Context, tokens int) error { return cal.direct(ctx, eng, led, tokens) }
+			}
+			wgr := cal.keep(ctx, max(open, -open), loadTokens, ask)
 			time.Sleep(rigWarm)
 			for ben.Loop() {
 				rig.bytes["probe"].Store(0)
@@ -151,13 +188,20 @@
 				begin, spent := time.Now(), rig.cpu()
 				time.Sleep(rigWindow)
 				took := time.Since(begin)
-				cal.report(ben, rig.cpu()-spent, took)
+				spent = rig.cpu() - spent
+				if open >= 0 {
+					cpu.add(float64(open), 100*spent.Seconds()/took.Seconds())
+					mem.add(float64(open), rig.resident()/1e6)
+				}
+				cal.report(ben, spent, took)
 				ben.ReportMetric(float64(rig.bytes["probe"].Load())/took.Seconds()/1000, "engine-KB/s")
 			}
 			cancel()
 			wgr.Wait()
 		})
 	}
+	cpu.report(ben, "cpu-by-open")
+	mem.report(ben, "resident-by-open")
 }
 
 // BenchmarkRequests is one daemon with requests of a single token, as fast as
@@ -170,7 +214,7 @@
 			for ben.Loop() {
 				ctx, cancel := context.WithCancel(context.Background())
 				begin, spent := time.Now(), rig.cpu()
-				wgr := cal.keep(ctx, 16, 1)
+				wgr := cal.keep(ctx, 16, 1, cal.ask)
 				time.Sleep(rigWindow)
 				took, used := time.Since(begin), rig.cpu()-spent
 				cancel()
--- a/cmd/kumquathinged/rig_bench_test.go
+++ b/cmd/kumquathinged/rig_bench_test.go
@@ -72,6 +72,14 @@
 	seq   atomic.Uint64
 	recs  atomic.Uint64
 	beat  core.Beat
+	leads []lead
+}
+
+// lead is the first engine of a group of the daemon's zone.
+type lead struct {
+	addr string
+	grp  core.GroupName
+	num  core.Offset
 }
 
 // counted counts the bytes of the connections of a listener.
@@ -208,6 +216,7 @@
 		return
 	}
 	rig.beat.Groups[grp] = 21
+	rig.leads = append(rig.leads, lead{rig.vms[len(rig.vms)-rigGroup].Addr, grp, num})
 	for rank, vmx := range rig.vms[len(rig.vms)-rigGroup:] {
 		eng := engine.New(vmx.Addr, engine.Config{})
 		_, err := eng.Order(rig.tst.Context(), core.Order{Number: num, Action: core.ActionLoad, Group: grp, Spec: spec, Members: nams, Rank: rank})
