Check every value of the start file and test what is said

A key put in place of its hash was printed. Change: rules of the project's own with a sentence each; one line for each wrong value; peers that listen on an unspecified address must say where they are dialled. Build returns its cause without "wiring: ".

--- a/node/build.go
+++ b/node/build.go
@@ -65,7 +65,7 @@
 	var nod *Node
 	err := con.Invoke(func(got *Node) { nod = got })
 	if err != nil {
-		return nil, eris.Wrap(dig.RootCause(err), "wiring")
+		return nil, dig.RootCause(err)
 	}
 	return nod, nil
 }
--- a/node/config.go
+++ b/node/config.go
@@ -4,28 +4,26 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"os"
-	"reflect"
 	"strings"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/rotisserie/eris"
-
 	"kumquathinge/core"
 )
 
 // Config is the start file of an entry VM. Everything else stands in the
 // settings tree. Advertise is the address at which peers reach the node, if it
-// is not the one that the node listens on.
+// is not the one that the node listens on; it is required if that one is
+// unspecified, such as 0.0.0.0.
 type Config struct {
-	Node      core.NodeName `json:"node" validate:"required,max=64"`
-	Zone      core.Zone     `json:"zone" validate:"required,max=64"`
+	Node      core.NodeName `json:"node" validate:"required,max=64,name"`
+	Zone      core.Zone     `json:"zone" validate:"required,max=64,name"`
 	Listen    Listen        `json:"listen"`
-	Advertise string        `json:"advertise" validate:"omitempty,hostname_port"`
-	Log       string        `json:"log" validate:"required,hostname_port"`
-	VMs       string        `json:"vms" validate:"required,hostname_port"`
-	Seeds     []string      `json:"seeds" validate:"dive,hostname_port"`
-	Operators []Operator    `json:"operators" validate:"dive"`
+	Advertise string        `json:"advertise" validate:"omitempty,dial_addr"`
+	Log       string        `json:"log" validate:"required,dial_addr|hostname_port"`
+	VMs       string        `json:"vms" validate:"required,dial_addr|hostname_port"`
+	Seeds     []string      `json:"seeds" validate:"dive,dial_addr"`
+	Operators []Operator    `json:"operators" validate:"unique=KeyHash,dive"`
 	TLS       TLS           `json:"tls"`
 }
 
@@ -33,16 +31,16 @@
 // from a loopback address may.
 type Operator struct {
 	Name    string `json:"name" validate:"required,max=64"`
-	KeyHash string `json:"key_hash" validate:"required,len=64,hexadecimal,lowercase"`
+	KeyHash string `json:"key_hash" validate:"required,key_hash"`
 }
 
 // Listen has the addresses that the daemon listens on, as IP:port. Port 0 lets
 // the system choose.
 type Listen struct {
-	Callers   string `json:"callers" validate:"required,tcp_addr"`
-	Operators string `json:"operators" validate:"required,tcp_addr"`
-	Peers     string `json:"peers" validate:"required,tcp_addr"`
-	Metrics   string `json:"metrics" validate:"required,tcp_addr"`
+	Callers   string `json:"callers" validate:"required,listen_addr"`
+	Operators string `json:"operators" validate:"required,listen_addr"`
+	Peers     string `json:"peers" validate:"required,listen_addr"`
+	Metrics   string `json:"metrics" validate:"required,listen_addr"`
 }
 
 // TLS names the PEM files of the node's key and certificate and of the
@@ -75,48 +73,19 @@
 	dec.DisallowUnknownFields()
 	err := dec.Decode(&cfg)
 	if err != nil {
-		return Config{}, core.Errorf(core.CodeConfigInvalid, "start file: %v", err)
-	}
-	err = newValidator().Struct(cfg)
-	if err == nil {
-		return cfg, checkOpen(cfg)
+		return Config{}, wrongStart(strings.TrimPrefix(err.Error(), "json: "))
 	}
-	var fes validator.ValidationErrors
-	if !errors.As(err, &fes) {
-		return Config{}, eris.Wrap(err, "start file can't be checked")
+	if _, err = dec.Token(); !errors.Is(err, io.EOF) {
+		return Config{}, wrongStart("there is more behind the JSON object")
 	}
-	lns := make([]string, 0, len(fes))
-	for _, fer := range fes {
-		lns = append(lns, describeField(fer))
-	}
-	return Config{}, core.Errorf(core.CodeConfigInvalid, "start file: %s", strings.Join(lns, "\nstart file: "))
-}
-
-// newValidator returns a validator that names fields as JSON does.
-func newValidator() *validator.Validate {
-	val := validator.New(validator.WithRequiredStructEnabled())
-	val.RegisterTagNameFunc(func(fld reflect.StructField) string {
-		nam, _, _ := strings.Cut(fld.Tag.Get("json"), ",")
-		return nam
-	})
-	return val
-}
-
-// describeField returns one line on a wrong value.
-func describeField(fer validator.FieldError) string {
-	_, path, _ := strings.Cut(fer.Namespace(), ".")
-	rul := fer.Tag()
-	if fer.Param() != "" {
-		rul += "=" + fer.Param()
+	lns := cfg.check()
+	if len(lns) > 0 {
+		return Config{}, wrongStart(lns...)
 	}
-	return path + ": value \"" + strings.TrimSpace(toText(fer.Value())) + "\" breaks the rule " + rul
+	return cfg, nil
 }
 
-// toText returns a value as JSON without quotes.
-func toText(val any) string {
-	out, err := json.Marshal(val)
-	if err != nil {
-		return "?"
-	}
-	return strings.Trim(string(out), `"`)
+// wrongStart returns an error with one line for each fault.
+func wrongStart(lns ...string) error {
+	return core.Errorf(core.CodeConfigInvalid, "start file: %s", strings.Join(lns, "\nstart file: "))
 }
--- a/node/secure.go
+++ b/node/secure.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"kumquathinge/core"
 	"kumquathinge/io/certs"
 )
 
@@ -38,22 +37,3 @@
 	}
 	return "https://"
 }
-
-// checkOpen refuses addresses for peers and operators that other machines
-// reach without TLS.
-func checkOpen(cfg Config) error {
-	if cfg.TLS.Enabled() {
-		return nil
-	}
-	for _, adr := range []struct{ name, addr string }{
-		{"listen.operators", cfg.Listen.Operators},
-		{"listen.peers", cfg.Listen.Peers},
-	} {
-		host, _, err := net.SplitHostPort(adr.addr)
-		if err != nil || !net.ParseIP(host).IsLoopback() {
-			return core.Errorf(core.CodeConfigInvalid,
-				"start file: %s: %q is no loopback address, so the section tls is required", adr.name, adr.addr)
-		}
-	}
-	return nil
-}
