--- a/node/admin.go
+++ b/node/admin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquathinge/core"
+	"kumquathinge/core/crash"
 	"kumquathinge/core/fold"
 	"kumquathinge/core/gate"
 	"kumquathinge/core/recd"
@@ -82,71 +83,47 @@
 	vie := adm.sto.View()
 	cod := adm.jbs.Ready()
 	out := oper.Status{
-		Node:   adm.self,
-		Ready:  cod == core.CodeOK,
-		Code:   cmp.Or(cod, sta.Code),
-		Why:    sta.Detail,
-		Log:    oper.LogStatus{OK: sta.LogOK, Applied: sta.Offset, Hash: hexHash(sta.Hash), Detail: sta.Detail},
-		Groups: adm.groups(vie),
-		VMs:    adm.vms(vie),
-		Nodes:  adm.nodes(),
-	}
-	for _, sus := range adm.jbs.srv.Suspects() {
-		if sus.Until.After(adm.now()) {
-			out.Quarantine = append(out.Quarantine, oper.Quarantined{Print: hexHash(sus.Print), Crashes: sus.Crashes, Until: sus.Until})
-		}
+		Node:       adm.self,
+		Ready:      cod == core.CodeOK,
+		Code:       cmp.Or(cod, sta.Code),
+		Why:        sta.Detail,
+		Log:        oper.LogStatus{OK: sta.LogOK, Applied: sta.Offset, Hash: hexHash(sta.Hash), Detail: sta.Detail},
+		Groups:     adm.groups(vie),
+		VMs:        adm.vms(vie),
+		Nodes:      adm.nodes(),
+		Quarantine: adm.quarantine(),
+	}
+	if cod == core.CodeDraining {
+		out.Why = "this entry VM drains or stops"
 	}
 	return out
 }
 
-// hexHash writes a hash as operators read it.
-func hexHash(sum uint64) string { return fmt.Sprintf("%016x", sum) }
-
-// groups returns the status of every assignment.
-func (adm *admin) groups(vie *fold.View) []oper.GroupStatus {
-	now := adm.now()
-	fly := zoneInFlight(adm.bet.circle(), adm.self, adm.zone, adm.jbs.srv.InFlight())
-	var out []oper.GroupStatus
-	for _, asg := range vie.Assignments() {
-		grp := oper.GroupStatus{
-			Name:     asg.Group,
-			Model:    asg.Spec.Model,
-			Version:  asg.Spec.Version,
-			Role:     asg.Spec.Role,
-			Zone:     asg.Zone,
-			Domain:   asg.Domain,
-			Phase:    asg.Phase,
-			Order:    asg.Order,
-			Members:  asg.VMs,
-			InFlight: fly[asg.Group],
+// quarantine returns the requests that are refused by what this node and the
+// live ones saw.
+func (adm *admin) quarantine() []oper.Quarantined {
+	told := [][]core.Suspect{adm.jbs.srv.Suspects()}
+	for _, bea := range adm.bet.circle().live {
+		if bea.Node != adm.self {
+			told = append(told, bea.Suspects)
 		}
-		adm.explain(&grp, now)
-		out = append(out, grp)
+	}
+	out := []oper.Quarantined{}
+	for _, sus := range crash.Listed(adm.now(), told...) {
+		out = append(out, oper.Quarantined{Print: hexHash(sus.Print), Crashes: sus.Crashes, Until: sus.Until})
 	}
 	return out
 }
 
-// explain fills in whether the group serves and why not.
-func (adm *admin) explain(grp *oper.GroupStatus, now time.Time) {
-	if grp.Zone != adm.zone {
-		grp.Code = core.CodeGroupUnknown
-		grp.Why = "in zone " + string(grp.Zone) + ", ask an entry VM there"
-		return
-	}
-	_, err := adm.jbs.gat.Permit(grp.Name, now)
-	grp.Code = core.CodeOf(err)
-	grp.Serving = err == nil
-	if err != nil {
-		grp.Why = err.Error()
-	}
-}
+// hexHash writes a hash as operators read it.
+func hexHash(sum uint64) string { return fmt.Sprintf("%016x", sum) }
 
 // vms returns the status of every VM that is listed or held by a group.
 func (adm *admin) vms(vie *fold.View) []oper.VMStatus {
 	ros := adm.lst.roster()
 	lea := adm.wls.get().leaving(ros)
 	sgs := adm.jbs.gat.Sights()
-	var out []oper.VMStatus
+	out := []oper.VMStatus{}
 	listed := core.NewSet[core.VMName]()
 	for _, vmx := range ros.vms {
 		if vmx.Kind == core.VMEntry {
@@ -191,7 +168,7 @@
 // nodes returns the status of every entry VM that is listed or was heard of.
 func (adm *admin) nodes() []oper.NodeStatus {
 	tre := adm.wls.get().tree
-	var out []oper.NodeStatus
+	out := []oper.NodeStatus{}
 	live := core.NewSet[core.NodeName]()
 	for _, bea := range adm.bet.circle().live {
 		live.Add(bea.Node)
