Blame the node whose state differs from most, once

Cause: the alarm compared each beat with the first state heard at its offset, so with e1 odd and first, e2 blamed e3; and it was logged for every beat. Change: the table keeps each node's state at the last offsets and compares them by majority; where equally many hold each, the state of nodes that agreed with others before counts, and without such all are named as tied. Alarm tells whether other nodes are blamed than before; the beater logs only then, and once when states agree again. TestAlarm's codes by beat are replaced by a table of who is blamed and how often that changes; its cases are among the rows.

--- a/core/membr/membr.go
+++ b/core/membr/membr.go
@@ -28,21 +28,18 @@
 
 	// missedCycles is the number of exchanges that a live peer may miss.
 	missedCycles = 3
-
-	maxHashes = 256
 )
 
 // Table is the set of peers known to one node. It is not safe for concurrent
 // use.
 type Table struct {
-	cfg    Config
-	self   core.Beat
-	peers  map[core.NodeName]*peer
-	seeds  []seed
-	near   cursor
-	far    cursor
-	hashes map[core.Offset]uint64
-	offs   []core.Offset
+	cfg   Config
+	self  core.Beat
+	peers map[core.NodeName]*peer
+	seeds []seed
+	near  cursor
+	far   cursor
+	told  told
 }
 
 type peer struct {
@@ -70,10 +67,10 @@
 		cfg.Fanout = defaultFanout
 	}
 	return &Table{
-		cfg:    cfg,
-		self:   self,
-		peers:  make(map[core.NodeName]*peer),
-		hashes: make(map[core.Offset]uint64),
+		cfg:   cfg,
+		self:  self,
+		peers: make(map[core.NodeName]*peer),
+		told:  newTold(),
 	}
 }
 
@@ -131,6 +128,7 @@
 	for nam, per := range tab.peers {
 		if now.Sub(per.heard) >= max(tab.cfg.Dead, tab.patience(per)) {
 			delete(tab.peers, nam)
+			delete(tab.told.judged, nam)
 		}
 	}
 }
@@ -153,27 +151,3 @@
 func (tab *Table) Zone(zone core.Zone, now time.Time) []core.Beat {
 	return slices.DeleteFunc(tab.Live(now), func(bea core.Beat) bool { return bea.Zone != zone })
 }
-
-// Alarm returns an error with core.CodeHashAlarm if another state than that of
-// bea is known at bea.HashAt. It remembers the states of the last offsets, the
-// node's own included if its beats are passed as well.
-func (tab *Table) Alarm(bea core.Beat) error {
-	if bea.HashAt == 0 {
-		return nil
-	}
-	have, ok := tab.hashes[bea.HashAt]
-	if ok && have != bea.Hash {
-		return core.Errorf(core.CodeHashAlarm, "node %q has state %016x at offset %d, others have %016x",
-			bea.Node, bea.Hash, bea.HashAt, have)
-	}
-	if ok {
-		return nil
-	}
-	tab.hashes[bea.HashAt] = bea.Hash
-	tab.offs = append(tab.offs, bea.HashAt)
-	if len(tab.offs) > maxHashes {
-		delete(tab.hashes, tab.offs[0])
-		tab.offs = tab.offs[1:]
-	}
-	return nil
-}
--- a/core/membr/membr_test.go
+++ b/core/membr/membr_test.go
@@ -81,17 +81,72 @@
 }
 
 func TestAlarm(t *testing.T) {
+	type told struct {
+		node core.NodeName
+		at   core.Offset
+		hash uint64
+	}
+	tests := []struct {
+		name  string
+		beats []told
+		odd   []core.NodeName
+		tied  bool
+		// changes counts the beats after which other nodes were blamed.
+		changes int
+	}{
+		{"no hash yet", []told{{"a", 0, 1}, {"b", 0, 2}}, nil, false, 0},
+		{"alike", []told{{"a", 64, 1}, {"b", 64, 1}, {"c", 128, 2}, {"a", 128, 2}}, nil, false, 0},
+		{"different offsets", []told{{"a", 64, 1}, {"b", 128, 2}}, nil, false, 0},
+		{"two differ", []told{{"a", 64, 1}, {"b", 64, 2}}, []core.NodeName{"a", "b"}, true, 1},
+		{"odd one last", []told{{"b", 64, 1}, {"c", 64, 1}, {"a", 64, 2}}, []core.NodeName{"a"}, false, 1},
+		{"odd one first", []told{{"a", 64, 2}, {"b", 64, 1}, {"c", 64, 1}}, []core.NodeName{"a"}, false, 2},
+		{"odd one again and again", []told{{"b", 64, 1}, {"c", 64, 1}, {"a", 64, 2}, {"c", 64, 1}, {"a", 64, 2}}, []core.NodeName{"a"}, false, 1},
+		{"odd one first at the next offset", []told{
+			{"b", 64, 1}, {"c", 64, 1}, {"a", 64, 2}, {"a", 128, 4}, {"c", 128, 3}, {"b", 128, 3},
+		}, []core.NodeName{"a"}, false, 1},
+		{"late word on an old offset", []told{{"a", 128, 1}, {"b", 128, 1}, {"c", 64, 5}, {"a", 64, 4}, {"b", 64, 4}}, []core.NodeName{"c"}, false, 1},
+		{"mended", []told{{"b", 64, 1}, {"c", 64, 1}, {"a", 64, 2}, {"a", 64, 1}}, nil, false, 2},
+		{"mended later", []told{{"b", 64, 1}, {"c", 64, 1}, {"a", 64, 2}, {"b", 128, 3}, {"a", 128, 3}}, nil, false, 2},
+		{"two against two", []told{{"a", 64, 1}, {"b", 64, 1}, {"c", 64, 2}, {"d", 64, 2}}, []core.NodeName{"c", "d"}, false, 2},
+		{"all differ", []told{{"a", 64, 1}, {"b", 64, 2}, {"c", 64, 3}}, []core.NodeName{"a", "b", "c"}, true, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tab := membr.New(beat(0, 1), cfg)
+			var got membr.Alarm
+			changes := 0
+			for _, bea := range tt.beats {
+				var chg bool
+				got, chg = tab.Alarm(core.Beat{Node: bea.node, HashAt: bea.at, Hash: bea.hash})
+				if chg {
+					changes++
+				}
+			}
+			assert.DeepEqual(t, got.Odd, tt.odd)
+			assert.Equal(t, got.Tied, tt.tied)
+			assert.Equal(t, changes, tt.changes)
+			assert.Equal(t, got.Err() != nil, len(tt.odd) > 0)
+			if len(tt.odd) > 0 {
+				assert.Equal(t, core.CodeOf(got.Err()), core.CodeHashAlarm)
+				assert.ErrorContains(t, got.Err(), fmt.Sprintf("%q", tt.odd))
+			}
+		})
+	}
+}
+
+// TestAlarmForgets blames no node that is gone for good.
+func TestAlarmForgets(t *testing.T) {
 	tab := membr.New(beat(0, 1), cfg)
-	say := func(nod core.NodeName, off core.Offset, hash uint64) core.Code {
-		return core.CodeOf(tab.Alarm(core.Beat{Node: nod, HashAt: off, Hash: hash}))
+	for idx, hash := range []uint64{1, 1, 2} {
+		bea := beat(idx, 1)
+		bea.HashAt, bea.Hash = 64, hash
+		tab.Heard(bea, at(0))
+		tab.Alarm(bea)
 	}
-	assert.Equal(t, say("a", 0, 1), core.CodeOK)
-	assert.Equal(t, say("b", 0, 2), core.CodeOK, "no hash yet")
-	assert.Equal(t, say("a", 64, 1), core.CodeOK)
-	assert.Equal(t, say("b", 64, 1), core.CodeOK)
-	assert.Equal(t, say("b", 128, 2), core.CodeOK)
-	assert.Equal(t, say("c", 64, 2), core.CodeHashAlarm)
-	assert.Equal(t, say("a", 128, 3), core.CodeHashAlarm)
+	tab.Expire(at(60))
+	got, chg := tab.Alarm(beat(0, 1))
+	assert.Assert(t, chg)
+	assert.NilError(t, got.Err())
 }
 
 // TestTargets asks every peer where Fanout allows, and otherwise each one
--- a/node/beat.go
+++ b/node/beat.go
@@ -184,15 +184,27 @@
 	if !bet.tab.Heard(bea, bet.now()) {
 		return
 	}
-	err := bet.tab.Alarm(bea)
-	if err != nil {
-		bet.log.WithFields(logrus.Fields{"event": "alarm", "code": core.CodeOf(err), "node": bea.Node, "error": err.Error()}).
-			Error("states differ")
-	}
+	bet.compare(bea)
 	bet.merge(bea)
 	bet.publish()
 }
 
+// compare holds the state of a beat against that of others, and logs if other
+// nodes differ from most than before.
+func (bet *beater) compare(bea core.Beat) {
+	alm, changed := bet.tab.Alarm(bea)
+	if !changed {
+		return
+	}
+	err := alm.Err()
+	ent := bet.log.WithFields(logrus.Fields{"event": "alarm", "code": core.CodeOf(err), "nodes": alm.Odd, "offset": alm.At})
+	if err == nil {
+		ent.Info("states agree again")
+		return
+	}
+	ent.WithField("error", detail(err)).Error("states differ")
+}
+
 // publish replaces the circle.
 func (bet *beater) publish() {
 	bet.cur.Store(&circle{live: bet.tab.Live(bet.now())})
@@ -201,7 +213,7 @@
 // send starts one exchange with each target.
 func (bet *beater) send(ctx context.Context) {
 	self := bet.tab.Update(bet.self())
-	_ = bet.tab.Alarm(self)
+	bet.compare(self)
 	bet.tab.Seed(bet.seedVMs())
 	for _, addr := range bet.tab.Targets(bet.now(), rand.Uint64()) {
 		bet.wg.Go(func() { bet.ask(ctx, addr, self) })
