--- a/io/front/complete.go
+++ b/io/front/complete.go
@@ -59,7 +59,7 @@
 
 // refuse answers a request that never became a job.
 func (srv *Server) refuse(rqc *fasthttp.RequestCtx, job core.Job, beg time.Time, err error) {
-	writeError(rqc, err)
+	fail(rqc, job, err)
 	srv.finish(job, beg, err)
 }
 
@@ -160,7 +160,7 @@
 	}
 	srv.finish(run.job, beg, err)
 	if err != nil {
-		writeError(rqc, err)
+		fail(rqc, run.job, err)
 		return
 	}
 	rqc.Response.Header.Set(HeaderRequestID, run.job.ID)
@@ -190,7 +190,7 @@
 	if !ok {
 		err := run.outcome(false)
 		srv.finish(run.job, beg, err)
-		writeError(rqc, err)
+		fail(rqc, run.job, err)
 		return
 	}
 	rqc.SetContentType("text/event-stream")
--- a/io/front/result.go
+++ b/io/front/result.go
@@ -81,6 +81,15 @@
 	writeJSON(rqc, describe(err))
 }
 
+// fail answers that the job ended with err. The request's ID lets operators
+// find it in the log.
+func fail(rqc *fasthttp.RequestCtx, job core.Job, err error) {
+	writeError(rqc, err)
+	if job.ID != "" {
+		rqc.Response.Header.Set(HeaderRequestID, job.ID)
+	}
+}
+
 // wholeSeconds rounds up to whole seconds.
 func wholeSeconds(dur time.Duration) int {
 	return int(math.Ceil(dur.Seconds()))
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -30,7 +30,7 @@
 	err = run.outcome(last.End && last.Reply != nil)
 	srv.finish(job, beg, err)
 	if err != nil {
-		writeError(rqc, err)
+		fail(rqc, job, err)
 		return
 	}
 	rqc.SetStatusCode(last.Reply.Status)
--- a/io/peer/server_fuzz_test.go
+++ b/io/peer/server_fuzz_test.go
@@ -26,7 +26,7 @@
 func (rdr reader) Exchange(bea core.Beat) core.Beat {
 	now := time.Unix(9, 0)
 	rdr.tab.Heard(bea, now)
-	_ = rdr.tab.Alarm(bea)
+	_, _ = rdr.tab.Alarm(bea)
 	rdr.boo.Merge(bea.Node, bea.Suspects, now)
 	for _, sus := range bea.Suspects {
 		rdr.boo.Decide(sus.Print, now)
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -107,7 +107,7 @@
 // FuzzParseConfig accepts only what reads the same when written again, and
 // refuses all else with the code and a line for each fault.
 func FuzzParseConfig(f *testing.F) {
-	for _, txt := range []string{startFile, "", "{}", "null", "[]", "{}{}", `{"node":1}`, `{"tls":{"cert":"a"}}`, strings.Replace(startFile, "127", "0", 2)} {
+	for _, txt := range []string{startFile, "", "{}", "null", "[]", "{}{}", `{"node":"n1","zone":"z1"}{}`, `{"node":"n1","zone":"z1","log":"http://[::1]:%"}`, `{"node":1}`, `{"tls":{"cert":"a"}}`, strings.Replace(startFile, "127", "0", 2)} {
 		f.Add([]byte(txt))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/node/nodets/call.go
+++ b/node/nodets/call.go
@@ -104,6 +104,7 @@
 // Answer is what a caller got. Whole is set if the answer had its end mark.
 // Code is the result code of a failure.
 type Answer struct {
+	ID     string
 	Status int
 	Text   string
 	Whole  bool
@@ -144,12 +145,18 @@
 func failure(res *http.Response) Answer {
 	var bod errorBody
 	err := json.NewDecoder(res.Body).Decode(&bod)
-	return Answer{Status: res.StatusCode, Code: bod.Error.Code, NotRun: bod.Error.NotRun, Err: err}
+	return Answer{
+		ID:     res.Header.Get(front.HeaderRequestID),
+		Status: res.StatusCode,
+		Code:   bod.Error.Code,
+		NotRun: bod.Error.NotRun,
+		Err:    err,
+	}
 }
 
 // readStream reads a streamed answer.
 func readStream(res *http.Response, first func()) Answer {
-	ans := Answer{Status: res.StatusCode}
+	ans := Answer{ID: res.Header.Get(front.HeaderRequestID), Status: res.StatusCode}
 	var sbu strings.Builder
 	scn := bufio.NewScanner(res.Body)
 	for scn.Scan() {
@@ -169,6 +176,7 @@
 		}
 		ans.Err = json.Unmarshal([]byte(data), &got)
 		ans.Code = got.Error.Code
+		ans.NotRun = got.Error.NotRun
 		if len(got.Choices) == 1 {
 			sbu.WriteString(got.Choices[0].Text)
 		}
