--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -1,5 +1,3 @@
-// Package trace reads replay files: one record in JSON on each line. The state
-// machines define what a record is.
 package trace
 
 import (
