--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	go test -count=1 -run '^TestHolds' -v ./... | grep -E '^(=== RUN|--- |\s+--- |ok|FAIL|panic)' | grep -v '=== RUN'
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./...
+	go test -run '^$$' -bench . -benchmem -benchtime 100ms -count 3 $(or $(BENCH),./...)
 
 replay:
 	go run ./cmd/replay
