Share suspects at once and keep them apart in the daemon

Cause: a caller's resend of a request that crashes servers came in at other entry VMs before these had heard of the suspicion. Change: a node that saw a break exchanges beats with its live peers before it answers, bounded by 200 ms, and the suspects of a zone's nodes use different groups. The control task decides from a view that is not older than its confirmation and gets the holds of VMs. The stand-ins release their lock before a server closes, which could deadlock. Replay files of state machines have a package of their own, apart from the repair traces. Conclusion: the bound of two groups holds for one caller that resends in turn.

--- a/core/flight/replay.go
+++ b/core/flight/replay.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"kumquathinge/core"
-	"kumquathinge/core/trace"
+	"kumquathinge/core/lines"
 )
 
 // Record is one line of a replay file. The first line has Limits, the last
 // Want, and those between an Event. At counts from the start of the request,
 // and so does the deadline of the limits.
 type Record struct {
-	At     trace.Span `json:"at"`
+	At     lines.Span `json:"at"`
 	Limits *Given     `json:"limits,omitempty"`
 	Event  *Event     `json:"event,omitempty"`
 	Want   *Outcome   `json:"want,omitempty"`
@@ -22,7 +22,7 @@
 type Given struct {
 	Attempts int        `json:"attempts"`
 	Repeat   Repeat     `json:"repeat"`
-	Deadline trace.Span `json:"deadline"`
+	Deadline lines.Span `json:"deadline"`
 	From     int        `json:"from,omitempty"`
 	Forward  bool       `json:"forward,omitempty"`
 	Stream   bool       `json:"stream,omitempty"`
@@ -44,7 +44,7 @@
 func Replay(rdr io.Reader) (got, want Outcome, err error) {
 	start := time.Unix(0, 0)
 	var mac *Machine
-	err = trace.Each(rdr, func(rec Record) (bool, error) {
+	err = lines.Each(rdr, func(rec Record) (bool, error) {
 		switch {
 		case rec.Limits != nil:
 			mac = New("r", rec.Limits.limits(start))
--- a/core/trace/trace.go
+++ b/core/lines/lines.go
@@ -1,4 +1,4 @@
-package trace
+package lines
 
 import (
 	"encoding/json"
--- a/core/trace/replay_fuzz_test.go
+++ b/core/lines/replay_fuzz_test.go
@@ -1,4 +1,4 @@
-package trace_test
+package lines_test
 
 import (
 	"bytes"
--- a/core/once/replay.go
+++ b/core/once/replay.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"kumquathinge/core"
-	"kumquathinge/core/trace"
+	"kumquathinge/core/lines"
 )
 
 // Record is one line of a replay file. The first line has Given, the last
 // Want, and those between an Event. At counts from the issue time.
 type Record struct {
-	At    trace.Span `json:"at"`
+	At    lines.Span `json:"at"`
 	Given *Given     `json:"given,omitempty"`
 	Event *Event     `json:"event,omitempty"`
 	Want  *Outcome   `json:"want,omitempty"`
@@ -21,9 +21,9 @@
 // and so on.
 type Given struct {
 	Digest     uint64     `json:"digest"`
-	Window     trace.Span `json:"window"`
-	ClockError trace.Span `json:"clock_error"`
-	Deadline   trace.Span `json:"deadline"`
+	Window     lines.Span `json:"window"`
+	ClockError lines.Span `json:"clock_error"`
+	Deadline   lines.Span `json:"deadline"`
 }
 
 // Outcome is what a request came to.
@@ -44,7 +44,7 @@
 func Replay(rdr io.Reader) (got, want Outcome, err error) {
 	start := time.Unix(0, 0)
 	var mac *Machine
-	err = trace.Each(rdr, func(rec Record) (bool, error) {
+	err = lines.Each(rdr, func(rec Record) (bool, error) {
 		switch {
 		case rec.Given != nil:
 			mac = New(rec.Given.config(start))
--- a/core/tail/replay.go
+++ b/core/tail/replay.go
@@ -8,8 +8,8 @@
 
 	"kumquathinge/core"
 	"kumquathinge/core/fold"
+	"kumquathinge/core/lines"
 	"kumquathinge/core/recd"
-	"kumquathinge/core/trace"
 	"kumquathinge/core/tree"
 )
 
@@ -20,7 +20,7 @@
 // zero is that of the error. Propose is a proposal with the line's number as
 // its ticket.
 type Line struct {
-	At      trace.Span   `json:"at"`
+	At      lines.Span   `json:"at"`
 	Given   *Given       `json:"given,omitempty"`
 	Tick    bool         `json:"tick,omitempty"`
 	Read    *LinePage    `json:"read,omitempty"`
@@ -90,7 +90,7 @@
 // core.CodeRecordBad if the file is not a replay.
 func Replay(rdr io.Reader) (got, want Outcome, err error) {
 	rep := replay{answers: map[string][]core.Code{}}
-	err = trace.Each(rdr, func(lin Line) (bool, error) {
+	err = lines.Each(rdr, func(lin Line) (bool, error) {
 		rep.line++
 		switch {
 		case lin.Given != nil:
--- a/node/beat.go
+++ b/node/beat.go
@@ -27,6 +27,7 @@
 	peerCall      = 2 * time.Second
 	peerSilence   = 5 * time.Second
 	peerKeepAlive = time.Second
+	tellTimeout   = 200 * time.Millisecond
 )
 
 // circle is what is known of the live entry VMs. It is immutable.
@@ -155,8 +156,26 @@
 	}
 }
 
-// run exchanges beats until ctx ends. It then tells its peers that the node
-// stops.
+// tell exchanges beats with the live peers at once, for news that should not
+// wait for the next interval. It returns when all have answered or its bound
+// has passed.
+func (bet *beater) tell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
+	defer cancel()
+	self := bet.exchange(ctx, core.Beat{})
+	var wg sync.WaitGroup
+	left := peerFanout
+	for _, bea := range bet.circle().live {
+		if bea.Node == self.Node || left == 0 {
+			continue
+		}
+		left--
+		wg.Go(func() { bet.ask(ctx, bea.Addr, self) })
+	}
+	wg.Wait()
+}
+
+// run exchanges beats until ctx ends.
 func (bet *beater) run(ctx context.Context) error {
 	tic := time.NewTicker(beatInterval)
 	defer tic.Stop()
--- a/node/build.go
+++ b/node/build.go
@@ -182,6 +182,8 @@
 		Policy:    jbs.policy,
 		Now:       inp.Now,
 		Rand:      rand.Uint64,
+		Share:     inp.Beater.tell,
+		Isolate:   jbs.isolates,
 		Blocks:    func(txt string) []uint64 { return route.Blocks(txt, prefixBlockBytes) },
 	})
 	inp.Facts.cur.Store(&parts{sto: inp.Store, srv: jbs.srv, que: inp.Queue, stp: inp.Stop})
--- /dev/null
+++ b/node/crash_test.go
@@ -0,0 +1,46 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/node/nodets"
+	"kumquathinge/stand"
+)
+
+// TestCrashingRequestTakesTwoGroups sends a request that crashes every engine
+// that runs it again and again through all entry VMs, until it is quarantined.
+// It takes down at most two groups, and other requests are served on.
+func TestCrashingRequestTakesTwoGroups(t *testing.T) {
+	t.Parallel()
+	const poison = "poison"
+	sys := nodets.Start(t, nodets.Config{
+		Engine: stand.EngineConfig{TokenTime: time.Millisecond},
+		Groups: map[string]core.Zone{"alerts-1": "z1", "alerts-2": "z1", "alerts-3": "z2", "alerts-4": "z3"},
+	})
+	for _, eng := range sys.Engines {
+		eng.SetFault(stand.EngineFault{CrashOn: poison, ReviveAfter: stand.Span(50 * time.Millisecond)})
+	}
+	const tries = 24
+	refused := 0
+	for num := range tries {
+		ans := sys.Complete(context.Background(), sys.Members[num%len(sys.Members)], poison, 5, nil)
+		assert.Assert(t, !ans.Whole)
+		if ans.Code == core.CodeQuarantined {
+			refused++
+		}
+	}
+	ran := 0
+	for _, eng := range sys.Engines {
+		ran += eng.Count().Total
+	}
+	assert.Assert(t, refused > 0)
+	assert.Assert(t, ran <= 2, "%d engines ran the request", ran)
+	for _, mem := range sys.Members {
+		completes(sys, mem, "bystander")
+	}
+}
--- a/node/ctrl.go
+++ b/node/ctrl.go
@@ -66,8 +66,10 @@
 
 // input returns what the node knows now.
 func (ctl *controller) input() repair.Input {
-	wor := ctl.world()
+	// The status is read first: the view that is decided from must not be
+	// older than its confirmation.
 	sta := ctl.sto.Status()
+	wor := ctl.world()
 	ros := ctl.lst.roster()
 	cir := ctl.bet.circle()
 	rnk := membr.Rank(string(ctl.zone), cir.inZone(ctl.zone))
@@ -78,6 +80,7 @@
 		LogOK:       sta.LogOK,
 		Confirmed:   sta.Confirmed,
 		Assignments: wor.assigned,
+		Holds:       wor.holds,
 		Wanted:      wor.wanted,
 		VMs:         ros.vms,
 		Sights:      ctl.gat.Sights(),
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -102,6 +102,13 @@
 	return err
 }
 
+// isolates reports whether suspects of this node may run on the group: each
+// group of a zone is used by the suspects of one of its nodes.
+func (jbs *jobs) isolates(grp core.GroupName) bool {
+	rnk := membr.Rank(string(grp), jbs.bet.circle().inZone(jbs.zone))
+	return len(rnk) == 0 || rnk[0] == jbs.node
+}
+
 // serves reports whether the zone has a complete group or a server for the
 // job.
 func (jbs *jobs) serves(job core.Job) bool {
--- a/node/world.go
+++ b/node/world.go
@@ -115,14 +115,15 @@
 }
 
 // world is what a node reads off one view of the folded state. It is
-// immutable. Everywhere has the assignments of all zones, the other fields
-// those of the node's.
+// immutable. Everywhere has the assignments and holds the held VMs of all
+// zones; the other fields are of the node's.
 type world struct {
 	*config
 	everywhere []core.Assignment
 	assigned   []core.Assignment
 	byModel    map[core.ModelName][]core.Assignment
 	held       core.Set[core.VMName]
+	holds      []fold.Hold
 }
 
 // newWorld reads the view for a node of the zone.
@@ -130,6 +131,7 @@
 	wor := &world{
 		config:     cfg,
 		everywhere: vie.Assignments(),
+		holds:      vie.Holds(),
 		byModel:    make(map[core.ModelName][]core.Assignment),
 		held:       core.NewSet[core.VMName](),
 	}
--- a/stand/base.go
+++ b/stand/base.go
@@ -126,16 +126,22 @@
 		ConnContext:       bas.connContext,
 		ReadHeaderTimeout: headerTimeout,
 	}
+	if bas.adopt(srv, lis) {
+		_ = srv.Close()
+	}
+	return srv
+}
+
+// adopt makes srv the present server and reports whether the stand-in was
+// closed before.
+func (bas *base[F]) adopt(srv *http.Server, lis net.Listener) bool {
 	bas.mtx.Lock()
 	defer bas.mtx.Unlock()
 	bas.addr = lis.Addr().String()
 	bas.srv = srv
 	bas.lis = lis
 	bas.dead = false
-	if bas.closed {
-		_ = srv.Close()
-	}
-	return srv
+	return bas.closed
 }
 
 func (bas *base[F]) connContext(ctx context.Context, _ net.Conn) context.Context {
@@ -154,6 +160,17 @@
 
 // Close stops the stand-in and drops its connections.
 func (bas *base[F]) Close() error {
+	srv := bas.end()
+	if srv == nil {
+		return nil
+	}
+	return srv.Close()
+}
+
+// end marks the stand-in as closed and returns the server to close, nil if
+// there is none. The lock is not held while a server closes, since the server
+// waits for connContext, which takes the lock.
+func (bas *base[F]) end() *http.Server {
 	bas.mtx.Lock()
 	defer bas.mtx.Unlock()
 	if bas.closed {
@@ -161,22 +178,29 @@
 	}
 	bas.closed = true
 	close(bas.done)
-	if bas.srv == nil {
-		return nil
-	}
-	return bas.srv.Close()
+	return bas.srv
 }
 
 // kill closes the listener and every connection.
 func (bas *base[F]) kill() {
+	srv, lis := bas.die()
+	if srv == nil {
+		return
+	}
+	_ = srv.Close()
+	_ = lis.Close()
+}
+
+// die marks the process as ended and returns what to close, nil if it had
+// ended before.
+func (bas *base[F]) die() (*http.Server, net.Listener) {
 	bas.mtx.Lock()
 	defer bas.mtx.Unlock()
 	if bas.dead || bas.closed || bas.srv == nil {
-		return
+		return nil, nil
 	}
 	bas.dead = true
-	_ = bas.srv.Close()
-	_ = bas.lis.Close()
+	return bas.srv, bas.lis
 }
 
 // revive listens again after kill.
