--- a/node/nodets/call.go
+++ b/node/nodets/call.go
@@ -2,21 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"kumquathinge/core"
 	"kumquathinge/io/front"
-	"kumquathinge/io/oper"
 )
 
 // client does not keep connections, so that a stopped entry VM is noticed.
@@ -25,82 +20,6 @@
 	Transport: &http.Transport{DisableKeepAlives: true},
 }
 
-// Status returns what an entry VM tells operators.
-func (sys *System) Status(mem *Member) (oper.Status, error) {
-	var sta oper.Status
-	return sta, sys.oper.getJSON(mem, "/v1/status", &sta)
-}
-
-// Settings returns the settings in force at an entry VM.
-func (sys *System) Settings(mem *Member, pth string) (oper.Settings, error) {
-	var got oper.Settings
-	return got, sys.oper.getJSON(mem, "/v1/settings?path="+url.QueryEscape(pth), &got)
-}
-
-// operator calls the operators' interface of entry VMs.
-type operator struct {
-	cli    *http.Client
-	scheme string
-}
-
-// newOperator returns an operator with the system's certificate, if any.
-func (sys *System) newOperator() operator {
-	sys.tst.Helper()
-	sec, err := sys.cfg.TLS.Load(time.Now())
-	assert.NilError(sys.tst, err)
-	if sec == nil {
-		return operator{cli: client, scheme: "http://"}
-	}
-	tra := &http.Transport{DisableKeepAlives: true, TLSClientConfig: sec}
-	return operator{cli: &http.Client{Timeout: awaitBound, Transport: tra}, scheme: "https://"}
-}
-
-// url returns the URL of a path at an entry VM.
-func (opr operator) url(mem *Member, pth string) string {
-	return opr.scheme + mem.Addrs.Operators + pth
-}
-
-// getJSON reads a JSON answer.
-func (opr operator) getJSON(mem *Member, pth string, val any) error {
-	res, err := opr.cli.Get(opr.url(mem, pth))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		out, _ := io.ReadAll(res.Body)
-		return fmt.Errorf("status %d: %s", res.StatusCode, out)
-	}
-	return json.NewDecoder(res.Body).Decode(val)
-}
-
-// TrySet changes a setting once, on top of the node's present version.
-func (sys *System) TrySet(mem *Member, pth, key string, raw []byte) error {
-	cur, err := sys.Settings(mem, pth)
-	if err != nil {
-		return err
-	}
-	body, err := json.Marshal(map[string]any{"path": pth, "key": key, "value": json.RawMessage(raw), "base": cur.Version})
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequest(http.MethodPut, sys.oper.url(mem, "/v1/settings"), bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	res, err := sys.oper.cli.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	out, err := io.ReadAll(res.Body)
-	if err == nil && res.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d: %s", res.StatusCode, out)
-	}
-	return err
-}
-
 // Answer is what a caller got. Whole is set if the answer had its end mark.
 // Code is the result code of a failure.
 type Answer struct {
--- a/node/nodets/member.go
+++ b/node/nodets/member.go
@@ -27,6 +27,9 @@
 func (sys *System) AddMember(nam core.NodeName, zon core.Zone) *Member {
 	sys.tst.Helper()
 	cfg := node.Config{Node: nam, Zone: zon, Log: sys.Log.Addr(), VMs: sys.List.Addr(), TLS: sys.cfg.TLS}
+	for _, opr := range sys.cfg.Operators {
+		cfg.Operators = append(cfg.Operators, node.Operator{Name: opr.Name, KeyHash: keyHash(opr.Key)})
+	}
 	for _, mem := range sys.Members {
 		cfg.Seeds = append(cfg.Seeds, mem.Addrs.Peers)
 	}
--- a/node/nodets/system.go
+++ b/node/nodets/system.go
@@ -44,12 +44,21 @@
 	// Program is the daemon's program. If it is set, each entry VM is a
 	// process of its own, which a test can kill and freeze but not cut off.
 	Program string
+	// Operators may change settings; the first makes the System's own
+	// changes. Without any, every caller may.
+	Operators []Operator
 	// TLS names the files of every entry VM and of the operator.
 	TLS node.TLS
 	// Verbose writes the log of the entry VMs to the test's output.
 	Verbose bool
 }
 
+// Operator is one who may change settings by a key.
+type Operator struct {
+	Name string
+	Key  string
+}
+
 // System is a set of entry VMs and stand-ins.
 type System struct {
 	Log     *stand.Log
@@ -147,11 +156,16 @@
 	})
 }
 
+// keyHash returns the hash by which the system knows a key.
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 // configure applies the settings.
 func (sys *System) configure() {
 	sys.tst.Helper()
-	sum := sha256.Sum256([]byte(Key))
-	sys.Set("/orgs/"+string(Org), "org.key_hashes", []string{hex.EncodeToString(sum[:])})
+	sys.Set("/orgs/"+string(Org), "org.key_hashes", []string{keyHash(Key)})
 	sys.Set("/", "vm.fencing", true)
 	sys.Set("/services/"+Service, "service.enabled", true)
 	for pth, kvs := range sys.cfg.Settings {
