--- a/core/flight/replay.go
+++ b/core/flight/replay.go
@@ -46,6 +46,8 @@
 	var mac *Machine
 	err = lines.Each(rdr, func(rec Record) (bool, error) {
 		switch {
+		case rec.Limits != nil && rec.Limits.Attempts <= 0:
+			return false, core.Errorf(core.CodeRecordBad, "replay allows no attempt")
 		case rec.Limits != nil:
 			mac = New("r", rec.Limits.limits(start))
 		case mac == nil:
--- a/core/trace/file.go
+++ b/core/trace/file.go
@@ -95,6 +95,11 @@
 	if trc.end <= 0 || len(trc.vms) == 0 {
 		return nil, fmt.Errorf("trace %q has no end or no VMs", trc.name)
 	}
+	for _, grp := range trc.groups {
+		if !slices.Contains(trc.Zones(), grp.Zone) {
+			return nil, fmt.Errorf("group %q is in zone %q, which has no VMs", grp.Group, grp.Zone)
+		}
+	}
 	slices.SortStableFunc(trc.faults, func(ali, bli Line) int { return cmp.Compare(ali.At, bli.At) })
 	return trc, nil
 }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -190,7 +190,7 @@
 	if ans.Status() == http.StatusServiceUnavailable && json.Unmarshal(ans.Body(), &ref) == nil && ref.Refused {
 		return core.Errorf(core.CodeRefused, "engine at %s refused the request", eng.poo.Addr())
 	}
-	return checkStatus(ans.Status(), pathGenerate)
+	return eris.Wrap(core.Errorf(core.CodeUnknownOutcome, "status %d", ans.Status()), pathGenerate)
 }
 
 // newRequest returns a request with msg as its body in JSON. It panics if msg
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -89,6 +89,10 @@
 		return err
 	}
 	defer done()
+	if job.OrderKey != "" && job.Hops == 0 && !jbs.ownsOrder(job) {
+		job.Hops++
+		return jbs.Forward(ctx, job, snk)
+	}
 	if !jbs.serves(job) {
 		return jbs.runElsewhere(ctx, job, snk)
 	}
@@ -204,27 +208,59 @@
 	return core.Errorf(core.CodeNoModel, "model %q does not exist", job.Model)
 }
 
-// others returns live nodes of other zones, those first whose zone has what
-// the job needs, in the order of a ranking by the job's ID.
-func (jbs *jobs) others(job core.Job) []core.Beat {
-	byName := make(map[core.NodeName]core.Beat)
-	var near, far []core.NodeName
+// ownsOrder reports whether this node runs the calls of the job's ordering
+// key. It is the first in a ranking of the live nodes whose zone has servers
+// for the job, so that all nodes hand such calls to the same one.
+func (jbs *jobs) ownsOrder(job core.Job) bool {
+	rnk := jbs.orderRank(job)
+	return len(rnk) == 0 || rnk[0].Node == jbs.node
+}
+
+// orderRank returns the live nodes that may run the calls of the job's ordering
+// key, in the order of preference.
+func (jbs *jobs) orderRank(job core.Job) []core.Beat {
 	zons := jbs.zones(job)
+	var near []core.Beat
 	for _, bea := range jbs.bet.circle().live {
-		if bea.Zone == jbs.zone {
-			continue
-		}
-		byName[bea.Node] = bea
 		if zons.Has(bea.Zone) {
-			near = append(near, bea.Node)
-		} else {
-			far = append(far, bea.Node)
+			near = append(near, bea)
 		}
 	}
-	var out []core.Beat
-	for _, nam := range append(membr.Rank(job.ID, near), membr.Rank(job.ID, far)...) {
+	return rankBeats(job.Service+"/"+job.OrderKey, near)
+}
+
+// rankBeats returns nodes in the order of a ranking by key.
+func rankBeats(key string, beats []core.Beat) []core.Beat {
+	byName := make(map[core.NodeName]core.Beat, len(beats))
+	for _, bea := range beats {
+		byName[bea.Node] = bea
+	}
+	out := make([]core.Beat, 0, len(beats))
+	for _, nam := range membr.Rank(key, membr.Names(beats)) {
 		out = append(out, byName[nam])
 	}
+	return out
+}
+
+// others returns the nodes to hand a job to. Those of a job with an ordering
+// key are ranked by the key. Those of another job are in other zones, those
+// first whose zone has what the job needs, ranked by the job's ID.
+func (jbs *jobs) others(job core.Job) []core.Beat {
+	if job.OrderKey != "" {
+		return jbs.orderRank(job)
+	}
+	var near, far []core.Beat
+	zons := jbs.zones(job)
+	for _, bea := range jbs.bet.circle().live {
+		switch {
+		case bea.Zone == jbs.zone:
+		case zons.Has(bea.Zone):
+			near = append(near, bea)
+		default:
+			far = append(far, bea)
+		}
+	}
+	out := append(rankBeats(job.ID, near), rankBeats(job.ID, far)...)
 	return out[:min(len(out), maxPeerTries)]
 }
 
--- a/node/nodets/call.go
+++ b/node/nodets/call.go
@@ -111,16 +111,30 @@
 	return ans
 }
 
-// Charge calls the plain service once with a key that must not be repeated.
+// Charge calls the plain service with a key that must not be repeated.
 func (sys *System) Charge(ctx context.Context, mem *Member, key, body string, issued time.Time) Answer {
+	return sys.call(ctx, mem, body, map[string]string{
+		front.HeaderKey:    key,
+		front.HeaderIssued: issued.UTC().Format(time.RFC3339Nano),
+	})
+}
+
+// CallInOrder calls the plain service with an ordering key.
+func (sys *System) CallInOrder(ctx context.Context, mem *Member, key, body string) Answer {
+	return sys.call(ctx, mem, body, map[string]string{front.HeaderOrderingKey: key})
+}
+
+// call calls the plain service once.
+func (sys *System) call(ctx context.Context, mem *Member, body string, header map[string]string) Answer {
 	adr := "http://" + mem.Addrs.Callers + "/services/" + Service + "/charge"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, adr, strings.NewReader(body))
 	if err != nil {
 		return Answer{Err: err}
 	}
 	req.Header.Set("Authorization", "Bearer "+Key)
-	req.Header.Set(front.HeaderKey, key)
-	req.Header.Set(front.HeaderIssued, issued.UTC().Format(time.RFC3339Nano))
+	for nam, val := range header {
+		req.Header.Set(nam, val)
+	}
 	res, err := client.Do(req)
 	if err != nil {
 		return Answer{Err: err}
--- a/node/nodets/system.go
+++ b/node/nodets/system.go
@@ -1,6 +1,7 @@
 package nodets
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -39,6 +40,8 @@
 	// Groups has the zone of each group of the model; the default is one in
 	// the first and one in the second zone.
 	Groups map[string]core.Zone
+	// Size is the number of VMs of a group, 2 by default.
+	Size int
 	// Settings are applied beside the default ones, by path and key.
 	Settings map[string]map[string]any
 	// Program is the daemon's program. If it is set, each entry VM is a
@@ -175,7 +178,7 @@
 	}
 	mod := "/models/" + Model
 	sys.Set(mod, "model.version", "v1")
-	sys.Set(mod, "group.size", groupSize)
+	sys.Set(mod, "group.size", cmp.Or(sys.cfg.Size, groupSize))
 	for grp, zon := range sys.cfg.Groups {
 		sys.Set(mod+"/groups/"+grp, "group.zone", zon)
 	}
--- /dev/null
+++ b/node/order_test.go
@@ -0,0 +1,37 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/node/nodets"
+	"kumquathinge/stand"
+)
+
+// TestOrderingKeyAcrossNodes sends calls with one ordering key through all
+// entry VMs at a time: the service runs one after another.
+func TestOrderingKeyAcrossNodes(t *testing.T) {
+	t.Parallel()
+	sys := nodets.Start(t, nodets.Config{})
+	sys.Plain.SetFault(stand.PlainFault{RunTime: stand.Span(20 * time.Millisecond)})
+	const calls = 16
+	answers := make([]nodets.Answer, calls)
+	var wg sync.WaitGroup
+	for idx := range calls {
+		wg.Go(func() {
+			mem := sys.Members[idx%len(sys.Members)]
+			answers[idx] = sys.CallInOrder(context.Background(), mem, "case 7", fmt.Sprint(idx))
+		})
+	}
+	wg.Wait()
+	for idx, ans := range answers {
+		assert.Assert(t, ans.Whole, "call %d: %+v", idx, ans)
+	}
+	assert.Equal(t, sys.Plain.Count().Total, calls)
+	assert.Equal(t, sys.Plain.Count().AtOnce, 1)
+}
--- a/stand/plain.go
+++ b/stand/plain.go
@@ -27,9 +27,11 @@
 	RunTime Span `json:"run_time,omitempty"`
 }
 
-// PlainCount tells what a plain service ran.
+// PlainCount tells what a plain service ran. AtOnce is the greatest number of
+// runs that were in progress at one time.
 type PlainCount struct {
 	Total     int            `json:"total"`
+	AtOnce    int            `json:"at_once"`
 	ByBody    map[string]int `json:"by_body"`
 	ByAttempt map[string]int `json:"by_attempt"`
 }
@@ -47,8 +49,9 @@
 // Plain is a stand-in of one backend server of a plain service.
 type Plain struct {
 	*base[PlainFault]
-	name  string
-	count PlainCount
+	name    string
+	count   PlainCount
+	running int
 }
 
 // NewPlain returns a plain service on the VM name.
@@ -66,6 +69,7 @@
 	defer pla.mtx.Unlock()
 	return PlainCount{
 		Total:     pla.count.Total,
+		AtOnce:    pla.count.AtOnce,
 		ByBody:    maps.Clone(pla.count.ByBody),
 		ByAttempt: maps.Clone(pla.count.ByAttempt),
 	}
@@ -89,6 +93,7 @@
 	}
 	att := req.Header.Get(attemptHeader)
 	run := pla.run(att, string(bod))
+	defer pla.ran()
 	// A run goes on when its caller is gone.
 	pla.wait(req.Context(), time.Duration(fau.RunTime))
 	if !pla.hold(req.Context()) {
@@ -110,12 +115,21 @@
 func (pla *Plain) run(att, bod string) int {
 	pla.mtx.Lock()
 	defer pla.mtx.Unlock()
+	pla.running++
+	pla.count.AtOnce = max(pla.count.AtOnce, pla.running)
 	pla.count.Total++
 	pla.count.ByBody[bod]++
 	pla.count.ByAttempt[att]++
 	return pla.count.Total
 }
 
+// ran notes the end of a run.
+func (pla *Plain) ran() {
+	pla.mtx.Lock()
+	defer pla.mtx.Unlock()
+	pla.running--
+}
+
 func (pla *Plain) answer(wri http.ResponseWriter, att string, short bool, rep PlainReply) {
 	out, err := json.Marshal(rep)
 	if err != nil {
