Test that operators see what is quarantined at every entry VM

A request that crashed two groups is listed by all four entry VMs with at least two crashes, a bystander by none. Seen to fail with the live nodes' beats left out of the list (e1 lists nothing: each node saw one crash).

--- a/node/status_test.go
+++ b/node/status_test.go
@@ -1,8 +1,10 @@
 package node_test
 
 import (
+	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -77,3 +79,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(sta.Quarantine), 0)
 }
+
+// TestQuarantineStatus lists a request that crashed two groups at every entry
+// VM, also at those that saw no crash, and no request that ran beside it.
+func TestQuarantineStatus(t *testing.T) {
+	t.Parallel()
+	const poison = "poison"
+	sys := nodets.Start(t, nodets.Config{})
+	for _, eng := range sys.Engines {
+		eng.SetFault(stand.EngineFault{CrashOn: poison, ReviveAfter: stand.Span(50 * time.Millisecond)})
+	}
+	sys.Await(func(poll.LogT) poll.Result {
+		ans := sys.Complete(context.Background(), sys.Members[0], poison, 5, nil)
+		if ans.Code != core.CodeQuarantined {
+			return poll.Continue("%+v", ans)
+		}
+		return poll.Success()
+	})
+	completes(sys, sys.Members[0], "bystander")
+	for _, mem := range sys.Members {
+		var got []oper.Quarantined
+		sys.Await(func(poll.LogT) poll.Result {
+			sta, err := sys.Status(mem)
+			if err != nil || len(sta.Quarantine) == 0 {
+				return poll.Continue("%s lists nothing: %v", mem.Name, err)
+			}
+			got = sta.Quarantine
+			return poll.Success()
+		})
+		assert.Equal(t, len(got), 1)
+		assert.Assert(t, got[0].Crashes >= 2, "%+v", got)
+	}
+}
