Count the peers once for a look at the live nodes

Cause: Live and Expire counted all peers for each peer, to find how long a beat may be missing: the cost of a heard beat grew with the square of the nodes. Ruled out: the sort and the copies of beats, which stay. Change: the two bounds are worked out once a call.

--- a/core/membr/membr.go
+++ b/core/membr/membr.go
@@ -125,8 +125,9 @@
 
 // Expire forgets peers that were not heard for Dead.
 func (tab *Table) Expire(now time.Time) {
+	pat := tab.patience()
 	for nam, per := range tab.peers {
-		if now.Sub(per.heard) >= max(tab.cfg.Dead, tab.patience(per)) {
+		if now.Sub(per.heard) >= max(tab.cfg.Dead, pat.of(tab, per)) {
 			delete(tab.peers, nam)
 			delete(tab.told.judged, nam)
 		}
@@ -138,8 +139,9 @@
 // often a peer is asked, Suspect grows to a few of these periods.
 func (tab *Table) Live(now time.Time) []core.Beat {
 	out := []core.Beat{tab.self}
+	pat := tab.patience()
 	for _, per := range tab.peers {
-		if !per.beat.Stopping && now.Sub(per.heard) < max(tab.cfg.Suspect, tab.patience(per)) {
+		if !per.beat.Stopping && now.Sub(per.heard) < max(tab.cfg.Suspect, pat.of(tab, per)) {
 			out = append(out, per.beat)
 		}
 	}
--- a/core/membr/target.go
+++ b/core/membr/target.go
@@ -35,18 +35,35 @@
 	return min(near, max(quo, tab.cfg.Fanout-rem)), rem
 }
 
-// patience is the time within which a live peer is heard a few times over.
-func (tab *Table) patience(per *peer) time.Duration {
+// patience is the time within which a live peer is heard a few times over,
+// for peers of the own zone and for others. Both are zero where Fanout does not
+// limit how often a peer is asked.
+type patience struct {
+	near, far time.Duration
+}
+
+// patience returns the present patience.
+func (tab *Table) patience() patience {
 	near, far := tab.count()
 	if near+far <= tab.cfg.Fanout {
-		return 0
+		return patience{}
 	}
 	quo, rem := tab.quota(near, far)
-	rounds := (near + quo - 1) / max(1, quo)
-	if per.beat.Zone != tab.self.Zone {
-		rounds = (far + rem - 1) / max(1, rem)
+	return patience{near: tab.rounds(near, quo), far: tab.rounds(far, rem)}
+}
+
+// rounds returns the time of a few rounds of num peers, part of which are
+// asked in each interval.
+func (tab *Table) rounds(num, part int) time.Duration {
+	return missedCycles * time.Duration((num+part-1)/max(1, part)) * tab.cfg.Interval
+}
+
+// of returns the patience with a peer of a table.
+func (pat patience) of(tab *Table, per *peer) time.Duration {
+	if per.beat.Zone == tab.self.Zone {
+		return pat.near
 	}
-	return missedCycles * time.Duration(rounds) * tab.cfg.Interval
+	return pat.far
 }
 
 func (tab *Table) count() (near, far int) {
