Mend what reads badly: twins, terms, comments

Cause: the read-through found a type and a rule that stood twice, words that are not the field's, comments that named fields that don't exist, and servers that left but were never forgotten. Change: the stand-ins use the replay files' duration type; the rule that drops connections after silence stands in io/wire; renamed the choice of a group to take apart; the gate forgets VMs that are neither listed nor held; VMs that a retired assignment still holds go on being probed.

--- a/core/code.go
+++ b/core/code.go
@@ -79,8 +79,8 @@
 	CodeStopBound     Code = 602
 )
 
-// Error is an error with a result code. Its source is the package that
-// detected the condition.
+// Error is an error with a result code and, if it is known, the time after
+// which a retry may succeed. It is immutable.
 type Error struct {
 	code   Code
 	detail string
--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -6,11 +6,11 @@
 // group when the group was lost becomes suspect. A suspect runs next on a
 // group with no other suspect; completion clears it, and a second crash
 // quarantines it for a time. So a request that crashes every server that runs
-// it takes down two groups, and those that ran beside it go free.
+// it takes down two groups, and the requests that ran beside it are cleared.
 //
 // A suspect that gets behind the point at which it broke lets other suspects
-// onto its group, so that the bystanders of a crash don't wait for each other's
-// ends. Only completion clears it.
+// onto its group, so that the other requests of a lost group don't wait for each
+// other's ends. Only completion clears it.
 //
 // # Breaks
 //
@@ -28,7 +28,7 @@
 // # Two suspects on one group
 //
 // Nodes don't know where their peers' suspects run. If two of them meet on one
-// group and it is lost, the bystander has its second crash as well. So the
+// group and it is lost, both have another crash, the innocent one as well. So the
 // suspects of a group should come from one node only: the caller of the book
 // picks among the groups that are this node's for that purpose.
 //
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -27,7 +27,7 @@
 	Rules   uint16
 }
 
-// Newest is what this program knows.
+// Newest is the record version and the newest rule that this program knows.
 var Newest = Program{Version: recd.Version, Rules: RuleGroupSettings}
 
 // State is the state that the log's entries up to Offset make. It belongs to
--- a/core/policy.go
+++ b/core/policy.go
@@ -3,6 +3,9 @@
 import "time"
 
 // Candidate is a group that could take a request, with what is known of it.
+// Load is the last report of its leader, LoadAt when that was asked for.
+// InFlight is the number of this entry VM's own requests in progress there, and
+// Capacity the number of requests that the group runs at once.
 type Candidate struct {
 	Group    GroupName
 	Order    Offset
--- a/core/repair/donate.go
+++ b/core/repair/donate.go
@@ -99,7 +99,7 @@
 		}
 	}
 	if short > 0 {
-		gft.donors, short = ctl.victim(vew, ned, cse, used)
+		gft.donors, short = ctl.wholeDonor(vew, ned, cse, used)
 	}
 	if short > 0 {
 		return gift{}, false
@@ -111,8 +111,8 @@
 	return gft, true
 }
 
-// victim chooses the smallest complete group that makes up what is lacking.
-func (ctl *Controller) victim(vew *view, ned need, cse Case, used core.Set[core.GroupName]) ([]core.GroupName, int) {
+// wholeDonor chooses the smallest complete group that makes up what is lacking.
+func (ctl *Controller) wholeDonor(vew *view, ned need, cse Case, used core.Set[core.GroupName]) ([]core.GroupName, int) {
 	best := core.Assignment{}
 	for _, asn := range vew.live {
 		size := len(asn.VMs)
--- a/core/repair/policy.go
+++ b/core/repair/policy.go
@@ -9,8 +9,8 @@
 // new generation on other VMs would take, and Reload the time that a member
 // takes to load after it returned empty. Placed states that VMs for a new
 // generation are there. Leaving states that the members are not missing but
-// leaving, so that they are sure to go. Beyond holds the absences known from experience that
-// were longer than Gone, known is the number of all absences seen.
+// leaving, so that they are sure to go. The absences seen so far that lasted
+// longer than Gone are kept in beyond, in ascending order; known counts all.
 type Case struct {
 	Size    int
 	Missing int
@@ -38,11 +38,11 @@
 // Policy decides what is a matter of cost and not of safety. Replace reports
 // whether to retire the assignment of an incomplete group and to build it anew
 // on other VMs. BreakUp reports whether to take a complete group of size
-// victim apart for it. Urgency ranks the groups that wait for loads; the
+// size apart for it. Urgency ranks the groups that wait for loads; the
 // greatest comes first.
 type Policy interface {
 	Replace(cse Case) bool
-	BreakUp(cse Case, victim int) bool
+	BreakUp(cse Case, size int) bool
 	Urgency(pnd Pending) float64
 }
 
@@ -130,13 +130,13 @@
 // BreakUp weighs the gain, a larger group in place of a smaller one for the
 // time for which the member stays away in three of four cases, against the time in which both
 // are being built.
-func (Weighted) BreakUp(cse Case, victim int) bool {
-	if victim >= cse.Size || len(cse.beyond) == 0 {
+func (Weighted) BreakUp(cse Case, size int) bool {
+	if size >= cse.Size || len(cse.beyond) == 0 {
 		return false
 	}
 	rest := cse.beyond[len(cse.beyond)/4].after - cse.Gone
-	gain := cse.Weights.Stranded * float64(cse.Size-victim) * (rest - cse.Rebuild).Seconds()
-	loss := cse.Weights.rate(victim) * (2 * cse.Rebuild).Seconds()
+	gain := cse.Weights.Stranded * float64(cse.Size-size) * (rest - cse.Rebuild).Seconds()
+	loss := cse.Weights.rate(size) * (2 * cse.Rebuild).Seconds()
 	return gain > loss
 }
 
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -109,7 +109,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	bod, err := eng.poo.Open(ctx, wire.Exchange{Req: req, Silence: eng.cfg.StreamSilence})
 	if err != nil {
-		eng.noteSilence(err)
+		eng.poo.NoteSilence(err)
 		return nil, err
 	}
 	if bod.Status() != http.StatusOK {
@@ -136,7 +136,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	ans, _, err := eng.poo.Do(ctx, wire.Exchange{Req: req})
 	if err != nil {
-		eng.noteSilence(err)
+		eng.poo.NoteSilence(err)
 		return nil, err
 	}
 	err = decode(ans, pathCache, &evs)
@@ -163,19 +163,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	ans, _, err := eng.poo.Do(ctx, wire.Exchange{Req: req})
 	if err != nil {
-		eng.noteSilence(err)
+		eng.poo.NoteSilence(err)
 	}
 	return ans, err
 }
 
-// noteSilence drops the idle connections if err tells of silence: what lost
-// track of one connection has probably lost track of the others.
-func (eng *Engine) noteSilence(err error) {
-	if core.CodeOf(err) == core.CodeSilent {
-		eng.poo.Drop()
-	}
-}
-
 // refusal returns the error that a response without an answer stands for.
 func (eng *Engine) refusal(bod *wire.Body) error {
 	defer func() { _ = bod.Close() }()
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -89,7 +89,7 @@
 	stm.err = err
 	stm.bod.Abort()
 	_ = stm.bod.Close()
-	stm.eng.noteSilence(err)
+	stm.eng.poo.NoteSilence(err)
 }
 
 // DecodeChunk reads one line of an answer. It returns an error with
--- a/io/plain/plain.go
+++ b/io/plain/plain.go
@@ -63,12 +63,14 @@
 	req.SetBodyRaw(cal.Body)
 	bod, err := svc.poo.Open(ctx, wire.Exchange{Req: req, Silence: cal.Timeout})
 	if err != nil {
-		return core.Reply{}, svc.failed(err)
+		svc.poo.NoteSilence(err)
+		return core.Reply{}, err
 	}
 	defer func() { _ = bod.Close() }()
 	ans, err := bod.Whole(svc.maxBody)
 	if err != nil {
-		return core.Reply{}, svc.failed(err)
+		svc.poo.NoteSilence(err)
+		return core.Reply{}, err
 	}
 	rep, err := svc.check(cal, ans)
 	if err != nil {
@@ -81,15 +83,6 @@
 	return rep, err
 }
 
-// failed drops the idle connections if err tells of silence: what lost track
-// of one connection has probably lost track of the others.
-func (svc *Service) failed(err error) error {
-	if core.CodeOf(err) == core.CodeSilent {
-		svc.poo.Drop()
-	}
-	return err
-}
-
 // check holds the answer against the call.
 func (svc *Service) check(cal core.Call, ans wire.Answer) (core.Reply, error) {
 	echo := core.AttemptID(ans.Header(headerAttempt))
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -83,6 +83,14 @@
 	return nil, con.reused, err
 }
 
+// NoteSilence drops the idle connections if err tells of silence: what lost
+// track of one connection has probably lost track of the others.
+func (poo *Pool) NoteSilence(err error) {
+	if core.CodeOf(err) == core.CodeSilent {
+		poo.Drop()
+	}
+}
+
 // Drop closes every idle connection. Those in use close when they are done.
 func (poo *Pool) Drop() {
 	poo.gen.Add(1)
--- a/node/probe.go
+++ b/node/probe.go
@@ -129,6 +129,10 @@
 		changed = prb.ensure(ctx, vmx) || changed
 	}
 	changed = prb.prune(keep, wor) || changed
+	for _, nam := range wor.held.Sorted() {
+		keep.Add(nam)
+	}
+	prb.gat.Forget(keep)
 	if changed {
 		prb.publish()
 	}
--- a/node/world.go
+++ b/node/world.go
@@ -115,8 +115,8 @@
 }
 
 // world is what a node reads off one view of the folded state. It is
-// immutable. Everywhere has the assignments and holds the held VMs of all
-// zones; the other fields are of the node's.
+// immutable. Assigned and byModel have the assignments of the node's zone, the
+// other fields those of all zones.
 type world struct {
 	*config
 	everywhere []core.Assignment
@@ -135,15 +135,15 @@
 		byModel:    make(map[core.ModelName][]core.Assignment),
 		held:       core.NewSet[core.VMName](),
 	}
+	for _, hld := range wor.holds {
+		wor.held.Add(hld.VM)
+	}
 	for _, asg := range wor.everywhere {
 		if asg.Zone != zon {
 			continue
 		}
 		wor.assigned = append(wor.assigned, asg)
 		wor.byModel[asg.Spec.Model] = append(wor.byModel[asg.Spec.Model], asg)
-		for _, nam := range asg.VMs {
-			wor.held.Add(nam)
-		}
 	}
 	return wor
 }
--- a/stand/base.go
+++ b/stand/base.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"kumquathinge/core/lines"
 )
 
 const (
@@ -18,23 +20,8 @@
 	headerTimeout  = 10 * time.Second
 )
 
-// Span is a time.Duration that is written in JSON as text, such as "50ms".
-type Span time.Duration
-
-// MarshalText returns the text of the duration.
-func (spa Span) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(spa).String()), nil
-}
-
-// UnmarshalText reads the text of a duration.
-func (spa *Span) UnmarshalText(txt []byte) error {
-	dur, err := time.ParseDuration(string(txt))
-	if err != nil {
-		return err
-	}
-	*spa = Span(dur)
-	return nil
-}
+// Span is a time.Duration that is written in JSON as text.
+type Span = lines.Span
 
 // Fault holds the faults that every stand-in knows.
 type Fault struct {
