Stop all members of a test system at one time

Cause: the in-force benchmark with 36 daemons did not end in 2.5 minutes. Ruled out: the system itself; 36 entry VMs started, took a change and had it in force within 0.32 s. Change: the harness stops every entry VM before it waits for the first; each stop has 2 s of notice, and they ran one after another. Conclusion: a fault of the harness only.

--- a/cmd/kumquathinged/force_bench_test.go
+++ b/cmd/kumquathinged/force_bench_test.go
@@ -17,7 +17,7 @@
 // many daemons, until it was answered as accepted and until every daemon had
 // it in force.
 func BenchmarkInForce(ben *testing.B) {
-	for _, num := range []int{4, 12} {
+	for _, num := range []int{4, 12, 36} {
 		ben.Run(fmt.Sprint("daemons=", num), func(ben *testing.B) {
 			sys := nodets.Start(ben, nodets.Config{Program: program, Engine: stand.EngineConfig{TokenTime: time.Millisecond}})
 			for idx := len(sys.Members); idx < num; idx++ {
--- a/node/nodets/member.go
+++ b/node/nodets/member.go
@@ -41,13 +41,20 @@
 	}
 	sys.Members = append(sys.Members, mem)
 	sys.tst.Cleanup(func() {
-		mem.Thaw()
-		mem.Stop()
+		sys.stopAll()
 		_ = mem.Wait()
 	})
 	return mem
 }
 
+// stopAll begins to stop every entry VM, so that they stop at one time.
+func (sys *System) stopAll() {
+	for _, mem := range sys.Members {
+		mem.Thaw()
+		mem.Stop()
+	}
+}
+
 // startTask starts an entry VM within the test's process.
 func (sys *System) startTask(cfg node.Config) *Member {
 	sys.tst.Helper()
--- a/node/nodets/system.go
+++ b/node/nodets/system.go
@@ -100,11 +100,6 @@
 	for idx, zon := range []core.Zone{"z1", "z1", "z2", "z3"} {
 		sys.AddMember(core.NodeName(fmt.Sprintf("e%d", idx+1)), zon)
 	}
-	tst.Cleanup(func() {
-		for _, mem := range sys.Members {
-			mem.Stop()
-		}
-	})
 	sys.configure()
 	sys.AwaitServing(len(cfg.Groups))
 	return sys
