Serve on the users' platform: thin path through one daemon

Adds platform/ (names, formats and calls), core/site (value types), core/place (groups), core/share (choice of a server, retry budget), entry (the daemon) and cmd/kumentry.

--- /dev/null
+++ b/cmd/kumentry/main.go
@@ -0,0 +1,56 @@
+// Command kumentry is the daemon of an entry VM on the users' platform. The
+// platform gives it the path of its settings in the environment.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+
+	"kumquathinge/entry"
+	"kumquathinge/platform"
+)
+
+type options struct {
+	Settings    string `long:"settings" description:"path of the settings file; by default the one that the environment names"`
+	MetricsPort int    `long:"metrics-port" description:"TCP port of the metrics, 0 for none"`
+	Check       bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() {
+	err := mainErr()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func mainErr() error {
+	var opt options
+	_, err := flags.Parse(&opt)
+	var ferr *flags.Error
+	if errors.As(err, &ferr) && ferr.Type == flags.ErrHelp {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if opt.Settings == "" {
+		opt.Settings = platform.SettingsPath()
+	}
+	set, err := platform.LoadSettings(opt.Settings)
+	if err != nil || opt.Check {
+		return err
+	}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(set.MemoryBytes / memoryDivisor)
+	}
+	return entry.New(entry.Options{MetricsPort: opt.MetricsPort, SettingsPath: opt.Settings}, set).Run(context.Background())
+}
+
+// memoryDivisor leaves a part of the VM's memory to sockets and the kernel.
+const memoryDivisor = 2
--- /dev/null
+++ b/core/share/book.go
@@ -0,0 +1,201 @@
+package share
+
+import (
+	"time"
+
+	"kumquathinge/core/site"
+)
+
+const (
+	// peerBound is the age at which the counts of a peer are no longer used:
+	// several of its reports are missing then.
+	peerBound = 1200 * time.Millisecond
+	// failPause is the first time for which a server that failed gets no
+	// requests while others have room. It doubles with each failure in a row.
+	failPause = 500 * time.Millisecond
+	// failPauseMax bounds the pause.
+	failPauseMax = 4 * time.Second
+)
+
+// entry is what runs at one server from this node, and how it went.
+type entry struct {
+	running int
+	// waiting counts the requests that got nothing yet.
+	waiting  int
+	oldest   time.Time
+	progress time.Time
+	fails    int
+	avoid    time.Time
+}
+
+// peer is what another node runs.
+type peer struct {
+	at     time.Time
+	counts map[string]int
+}
+
+// Book counts the requests at the backend servers.
+type Book struct {
+	zone    string
+	entries map[string]*entry
+	peers   map[string]peer
+	turn    int
+}
+
+// NewBook returns a Book of a node in the zone.
+func NewBook(zone string) *Book {
+	return &Book{zone: zone, entries: map[string]*entry{}, peers: map[string]peer{}}
+}
+
+func (boo *Book) entry(id string) *entry {
+	ent := boo.entries[id]
+	if ent == nil {
+		ent = &entry{}
+		boo.entries[id] = ent
+	}
+	return ent
+}
+
+// Begin counts a request that is sent to the server.
+func (boo *Book) Begin(id string, now time.Time) {
+	ent := boo.entry(id)
+	if ent.running == 0 {
+		ent.progress = now
+	}
+	ent.running++
+}
+
+// End counts the end of a request.
+func (boo *Book) End(id string) {
+	ent := boo.entry(id)
+	ent.running--
+	if ent.running <= 0 && ent.fails == 0 {
+		delete(boo.entries, id)
+	}
+}
+
+// Progress notes that the server sent something.
+func (boo *Book) Progress(id string, now time.Time) {
+	ent := boo.entry(id)
+	ent.progress = now
+	ent.fails = 0
+	ent.avoid = time.Time{}
+}
+
+// Fail notes that a request failed at the server.
+func (boo *Book) Fail(id string, now time.Time) {
+	ent := boo.entry(id)
+	pau := min(failPause<<min(ent.fails, 8), failPauseMax)
+	ent.fails++
+	ent.avoid = now.Add(pau)
+}
+
+// Peer replaces the counts of another node.
+func (boo *Book) Peer(node string, counts map[string]int, now time.Time) {
+	boo.peers[node] = peer{at: now, counts: counts}
+}
+
+// Forget drops the counts of another node.
+func (boo *Book) Forget(node string) { delete(boo.peers, node) }
+
+// Own returns the number of this node's requests by server.
+func (boo *Book) Own() map[string]int {
+	out := make(map[string]int, len(boo.entries))
+	for id, ent := range boo.entries {
+		if ent.running > 0 {
+			out[id] = ent.running
+		}
+	}
+	return out
+}
+
+// Load returns the number of requests at the server, over all nodes that
+// were heard lately.
+func (boo *Book) Load(id string, now time.Time) int {
+	num := 0
+	if ent := boo.entries[id]; ent != nil {
+		num = ent.running
+	}
+	for _, per := range boo.peers {
+		if now.Sub(per.at) < peerBound {
+			num += per.counts[id]
+		}
+	}
+	return num
+}
+
+// Silent returns the servers that run requests of this node and have sent
+// nothing for the bound.
+func (boo *Book) Silent(bound time.Duration, now time.Time) []string {
+	var out []string
+	for id, ent := range boo.entries {
+		if ent.running > 0 && now.Sub(ent.progress) > bound {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// SilentFor returns the time for which a server that runs requests of this
+// node has sent nothing.
+func (boo *Book) SilentFor(id string, now time.Time) time.Duration {
+	ent := boo.entries[id]
+	if ent == nil || ent.running == 0 {
+		return 0
+	}
+	return now.Sub(ent.progress)
+}
+
+// Choice is a server for a request, and how loaded it is.
+type Choice struct {
+	Server *site.Server
+	Load   int
+}
+
+// Choose returns the least loaded of the servers, with room for one more
+// within limit requests, that isn't among the excluded ones. A server that
+// failed lately comes last. It returns no server if all are full.
+func (boo *Book) Choose(srvs []*site.Server, limit func(*site.Server) int, excluded []string, now time.Time) Choice {
+	var best Choice
+	bestCost := 0.0
+	boo.turn++
+	for pos := range srvs {
+		srv := srvs[(pos+boo.turn)%len(srvs)]
+		if contains(excluded, srv.ID) {
+			continue
+		}
+		lod := boo.Load(srv.ID, now)
+		lim := limit(srv)
+		if lod >= lim {
+			continue
+		}
+		cost := float64(lod) / float64(lim)
+		if srv.Zone != boo.zone {
+			cost += otherZone
+		}
+		if ent := boo.entries[srv.ID]; ent != nil && now.Before(ent.avoid) {
+			cost += avoided
+		}
+		if best.Server == nil || cost < bestCost {
+			best, bestCost = Choice{Server: srv, Load: lod}, cost
+		}
+	}
+	return best
+}
+
+// Costs of a choice, as parts of a server's capacity.
+const (
+	// otherZone is what the way to another zone counts for.
+	otherZone = 0.04
+	// avoided puts a server that failed behind each that didn't.
+	avoided = 10.0
+)
+
+func contains(ids []string, id string) bool {
+	for _, one := range ids {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/logger.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// logLines is the number of lines that wait for the writer. At some 200
+	// bytes a line they take a few megabytes.
+	logLines = 8192
+	// logPause is the time for which lines are gathered, so that few system
+	// calls write them.
+	logPause = 50 * time.Millisecond
+	// logBatch is the size at which gathered lines are written at once, in
+	// bytes.
+	logBatch = 64 << 10
+)
+
+// logWriter hands lines to a task that writes them. It never blocks: a line
+// that finds the buffer full is dropped and counted.
+type logWriter struct {
+	lines chan []byte
+	out   io.Writer
+	drop  func()
+}
+
+// newLogger returns a logger whose lines go to out through the writer.
+func newLogger(out io.Writer, drop func()) (*logrus.Logger, *logWriter) {
+	wtr := &logWriter{lines: make(chan []byte, logLines), out: out, drop: drop}
+	log := logrus.New()
+	log.SetOutput(wtr)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return log, wtr
+}
+
+// Write queues one line.
+func (wtr *logWriter) Write(line []byte) (int, error) {
+	cpy := append([]byte(nil), line...)
+	select {
+	case wtr.lines <- cpy:
+	default:
+		wtr.drop()
+	}
+	return len(line), nil
+}
+
+// run writes lines until ctx ends, and then those that are left.
+func (wtr *logWriter) run(ctx context.Context) error {
+	var buf []byte
+	for {
+		select {
+		case <-ctx.Done():
+			wtr.flush(wtr.gather(buf))
+			return nil
+		case line := <-wtr.lines:
+			buf = append(buf[:0], line...)
+			sleep(ctx, logPause)
+			buf = wtr.gather(buf)
+			wtr.flush(buf)
+		}
+	}
+}
+
+// gather appends the lines that wait to buf.
+func (wtr *logWriter) gather(buf []byte) []byte {
+	for {
+		select {
+		case line := <-wtr.lines:
+			buf = append(buf, line...)
+			if len(buf) >= logBatch {
+				wtr.flush(buf)
+				buf = buf[:0]
+			}
+		default:
+			return buf
+		}
+	}
+}
+
+// flush writes buf. A standard output that is gone leaves nobody to tell.
+func (wtr *logWriter) flush(buf []byte) {
+	if len(buf) > 0 {
+		_, _ = wtr.out.Write(buf)
+	}
+}
--- /dev/null
+++ b/entry/metric.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meter holds the counters and histograms of a node.
+type meter struct {
+	set           *metrics.Set
+	storeCalls    *metrics.Counter
+	storeErrors   *metrics.Counter
+	probes        *metrics.Counter
+	peerErrors    *metrics.Counter
+	logDropped    *metrics.Counter
+	servers       *metrics.Gauge
+	configVersion *metrics.Gauge
+	serving       *metrics.Gauge
+}
+
+func newMeter() *meter {
+	set := metrics.NewSet()
+	met := &meter{
+		set:           set,
+		storeCalls:    set.NewCounter("kumquathinge_store_calls_total"),
+		storeErrors:   set.NewCounter("kumquathinge_store_errors_total"),
+		probes:        set.NewCounter("kumquathinge_probes_total"),
+		peerErrors:    set.NewCounter("kumquathinge_peer_errors_total"),
+		logDropped:    set.NewCounter("kumquathinge_log_lines_dropped_total"),
+		servers:       set.NewGauge("kumquathinge_servers", nil),
+		configVersion: set.NewGauge("kumquathinge_configuration_version", nil),
+		serving:       set.NewGauge("kumquathinge_groups_serving", nil),
+	}
+	set.NewGauge("kumquathinge_heap_bytes", func() float64 {
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		return float64(mem.HeapAlloc)
+	})
+	return met
+}
+
+// result counts the end of a request by route kind and status, and its time.
+func (met *meter) result(kind string, status int, seconds float64) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_requests_total{kind=%q,status=\"%d\"}", kind, status)).Inc()
+	met.set.GetOrCreateHistogram(fmt.Sprintf("kumquathinge_request_seconds{kind=%q}", kind)).Update(seconds)
+}
+
+// attempt counts an attempt at a service by its outcome.
+func (met *meter) attempt(service string, out outcome) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_attempts_total{service=%q,outcome=%q}", service, out)).Inc()
+}
+
+// order counts an order by its kind and result.
+func (met *meter) order(kind, result string) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_orders_total{kind=%q,result=%q}", kind, result)).Inc()
+}
+
+// write writes all metrics as text.
+func (met *meter) write(wtr io.Writer) { met.set.WritePrometheus(wtr) }
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"kumquathinge/core/share"
+)
+
+const (
+	// beatPause is the pause between the reports of a node to its peers.
+	beatPause = 120 * time.Millisecond
+	// liveBound is the time after which a peer that isn't heard is taken as
+	// gone: six of its reports are missing.
+	liveBound = 800 * time.Millisecond
+	// maxBeat is the largest report in bytes.
+	maxBeat = 32 << 10
+)
+
+// beat is what a node tells its peers of itself.
+type beat struct {
+	Node string `cbor:"1,keyasint"`
+	Life int64  `cbor:"2,keyasint"`
+	// Term is the term of the orderer that the node knows.
+	Term int64 `cbor:"3,keyasint"`
+	// StoreAge is the time since the store last answered the node, zero while
+	// it answers.
+	StoreAge time.Duration `cbor:"4,keyasint"`
+	// Running is the number of requests by server.
+	Running map[string]int `cbor:"5,keyasint"`
+	// Silent are the servers that send nothing for the node's requests.
+	Silent []string `cbor:"6,keyasint"`
+	// Stopping nodes do not become orderers.
+	Stopping bool `cbor:"7,keyasint"`
+}
+
+// heard is the last report of a peer.
+type heard struct {
+	beat beat
+	at   time.Time
+}
+
+// peers exchanges reports with the other nodes in datagrams.
+type peers struct {
+	sta  *state
+	lod  *loads
+	hea  *health
+	log  *logrus.Logger
+	met  *meter
+	self nodeRecord
+	con  *net.UDPConn
+	stop func() bool
+
+	mtx   sync.Mutex
+	nodes map[string]heard
+}
+
+func newPeers(sta *state, lod *loads, hea *health, log *logrus.Logger, met *meter, self nodeRecord, stop func() bool) *peers {
+	return &peers{sta: sta, lod: lod, hea: hea, log: log, met: met, self: self, stop: stop, nodes: map[string]heard{}}
+}
+
+// open binds the node's address.
+func (prs *peers) open() error {
+	adr, err := net.ResolveUDPAddr("udp", prs.self.Addr)
+	if err != nil {
+		return err
+	}
+	prs.con, err = net.ListenUDP("udp", adr)
+	return err
+}
+
+// live returns the peers that were heard lately.
+func (prs *peers) live(now time.Time) map[string]heard {
+	prs.mtx.Lock()
+	defer prs.mtx.Unlock()
+	out := make(map[string]heard, len(prs.nodes))
+	for nam, hrd := range prs.nodes {
+		if now.Sub(hrd.at) < liveBound {
+			out[nam] = hrd
+		}
+	}
+	return out
+}
+
+// receive takes reports until the socket closes.
+func (prs *peers) receive(ctx context.Context) error {
+	buf := make([]byte, maxBeat)
+	for ctx.Err() == nil {
+		num, _, err := prs.con.ReadFromUDP(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				prs.met.peerErrors.Inc()
+				sleep(ctx, beatPause)
+			}
+			continue
+		}
+		var bea beat
+		err = cbor.Unmarshal(buf[:num], &bea)
+		if err != nil || bea.Node == "" || bea.Node == prs.self.Node {
+			prs.met.peerErrors.Inc()
+			continue
+		}
+		prs.take(bea, time.Now())
+	}
+	return nil
+}
+
+// take notes a report. One of an earlier life of its node is dropped.
+func (prs *peers) take(bea beat, now time.Time) {
+	prs.mtx.Lock()
+	old, known := prs.nodes[bea.Node]
+	stale := known && bea.Life < old.beat.Life
+	if !stale {
+		prs.nodes[bea.Node] = heard{beat: bea, at: now}
+	}
+	prs.mtx.Unlock()
+	if stale {
+		return
+	}
+	if !known || now.Sub(old.at) >= liveBound || old.beat.Life != bea.Life {
+		prs.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": bea.Node, "life": bea.Life, "term": bea.Term}).Info("peer is heard")
+	}
+	prs.lod.with(func(boo *share.Book) { boo.Peer(bea.Node, bea.Running, now) })
+}
+
+// report sends reports until ctx ends, and notes peers that fall silent.
+func (prs *peers) report(ctx context.Context) error {
+	lost := map[string]bool{}
+	for ctx.Err() == nil {
+		now := time.Now()
+		prs.send(now)
+		live := prs.live(now)
+		prs.lod.setNodes(len(live) + 1)
+		prs.mtx.Lock()
+		for nam, hrd := range prs.nodes {
+			_, ok := live[nam]
+			if !ok && !lost[nam] {
+				prs.log.WithFields(logrus.Fields{"event": "dependency_lost", "dependency": "peer", "peer": nam, "age": now.Sub(hrd.at)}).Warn("peer isn't heard")
+			}
+			lost[nam] = !ok
+		}
+		prs.mtx.Unlock()
+		sleep(ctx, beatPause)
+	}
+	return nil
+}
+
+// send sends one report to each node that the store knows.
+func (prs *peers) send(now time.Time) {
+	ros := prs.sta.nodes.Load()
+	bea := beat{Node: prs.self.Node, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop()}
+	prs.lod.with(func(boo *share.Book) {
+		bea.Running = boo.Own()
+		bea.Silent = boo.Silent(silenceBound, now)
+	})
+	raw, err := cbor.Marshal(bea)
+	if err != nil {
+		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("report can't be encoded")
+		return
+	}
+	for nam, rec := range ros.nodes {
+		if nam == prs.self.Node {
+			continue
+		}
+		adr, err := net.ResolveUDPAddr("udp", rec.Addr)
+		if err == nil {
+			_, err = prs.con.WriteToUDP(raw, adr)
+		}
+		if err != nil {
+			prs.met.peerErrors.Inc()
+		}
+	}
+}
--- /dev/null
+++ b/entry/roster.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquathinge/platform"
+)
+
+// Keys of the topic of the nodes.
+const (
+	keyOrderer    = "orderer"
+	keyNodePrefix = "node/"
+)
+
+// enroller publishes who the nodes are, and writes this node's own record.
+type enroller struct {
+	sta  *state
+	sto  *platform.Store
+	log  *logrus.Logger
+	met  *meter
+	self nodeRecord
+	ros  *roster
+}
+
+func newEnroller(sta *state, sto *platform.Store, log *logrus.Logger, met *meter, self nodeRecord) *enroller {
+	return &enroller{sta: sta, sto: sto, log: log, met: met, self: self, ros: &roster{nodes: map[string]nodeRecord{}}}
+}
+
+// apply takes records of the nodes' topic.
+func (enr *enroller) apply(chg change) {
+	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end}
+	for nam, rec := range enr.ros.nodes {
+		nxt.nodes[nam] = rec
+	}
+	for _, rec := range chg.records {
+		var nod nodeRecord
+		err := json.Unmarshal(rec.Value, &nod)
+		if err != nil {
+			enr.log.WithFields(logrus.Fields{"event": "record_unreadable", "key": rec.Key, "offset": rec.Offset, "error": err}).Warn("record of a node can't be read")
+			continue
+		}
+		switch {
+		case rec.Key == keyOrderer:
+			nxt.orderer, nxt.term = nod, rec.Offset+1
+			enr.log.WithFields(logrus.Fields{"event": "orderer", "node": nod.Node, "life": nod.Life, "term": nxt.term}).Info("another node orders")
+		case strings.HasPrefix(rec.Key, keyNodePrefix):
+			nxt.nodes[nod.Node] = nod
+		}
+	}
+	enr.ros = nxt
+	enr.sta.nodes.Store(nxt)
+	enr.sta.wake()
+}
+
+// run writes this node's record, and again while the topic shows another life.
+func (enr *enroller) run(ctx context.Context) error {
+	raw, err := json.Marshal(enr.self)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if enr.sta.nodes.Load().nodes[enr.self.Node] != enr.self {
+			enr.met.storeCalls.Inc()
+			_, err = enr.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+enr.self.Node, raw, -1)
+			if err != nil {
+				enr.log.WithFields(logrus.Fields{"event": "enrol_failed", "error": err}).Warn("record of this node was not written")
+			}
+		}
+		sleep(ctx, enrolPause)
+	}
+	return nil
+}
+
+// enrolPause is the pause between two looks at this node's record.
+const enrolPause = 700 * time.Millisecond
--- /dev/null
+++ b/entry/text.go
@@ -0,0 +1,5 @@
+package entry
+
+import "strconv"
+
+func itoa(num int) string { return strconv.Itoa(num) }
--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -22,6 +22,10 @@
 	resp fasthttp.Response
 	done bool
 	shut bool
+	// closeEnds accepts the orderly close of the connection as the end.
+	closeEnds bool
+	// crossed tells that the connection brought a response to another request.
+	crossed bool
 }
 
 var _ io.ReadCloser = (*Body)(nil)
@@ -32,6 +36,17 @@
 // Header returns the value of a response header, or nil.
 func (bod *Body) Header(name string) []byte { return bod.resp.Header.Peek(name) }
 
+// VisitHeaders calls vis for each header of the response.
+func (bod *Body) VisitHeaders(vis func(name, value []byte)) {
+	for nam, val := range bod.resp.Header.All() {
+		vis(nam, val)
+	}
+}
+
+// Crossed reports whether the connection also brought a response that belongs
+// to another request.
+func (bod *Body) Crossed() bool { return bod.crossed }
+
 // Read reads from the body. It returns io.EOF only after the end that the
 // response's framing states, and an error with core.CodeCutAnswer or
 // core.CodeSilent otherwise.
@@ -50,6 +65,8 @@
 	case errors.Is(err, io.EOF) && bod.resp.Header.ContentLength() >= -1:
 		bod.done = true
 		return num, io.EOF
+	case errors.Is(err, io.EOF) && bod.closeEnds && bod.con.ended:
+		return num, io.EOF
 	}
 	return num, bod.con.fault(bod.ctx, err, core.CodeCutAnswer)
 }
@@ -64,7 +81,7 @@
 	if bod.done {
 		_ = bod.resp.CloseBodyStream()
 	}
-	bod.poo.release(bod.con, bod.stop, bod.done && !bod.resp.ConnectionClose())
+	bod.poo.release(bod.con, bod.stop, bod.done && !bod.crossed && !bod.resp.ConnectionClose())
 	return nil
 }
 
--- a/io/wire/config.go
+++ b/io/wire/config.go
@@ -1,6 +1,12 @@
 package wire
 
-import "time"
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Default limits of a Pool.
 const (
@@ -22,6 +28,10 @@
 	IdleTimeout time.Duration
 	// IdleMax is the number of idle connections that are kept.
 	IdleMax int
+	// AckTimeout is the time after which a connection ends whose peer doesn't
+	// acknowledge bytes or, when it is idle, keep-alive probes. Zero leaves
+	// this to the system.
+	AckTimeout time.Duration
 	// MaxBody is the largest response body of Do, in bytes.
 	MaxBody int
 }
@@ -41,3 +51,31 @@
 	}
 	return val
 }
+
+// keepAliveProbes is the number of probes within an AckTimeout.
+const keepAliveProbes = 2
+
+// keepAlive returns the probes that find a dead idle connection within
+// AckTimeout.
+func (cfg Config) keepAlive() net.KeepAliveConfig {
+	if cfg.AckTimeout <= 0 {
+		return net.KeepAliveConfig{Enable: true}
+	}
+	gap := max(time.Second, cfg.AckTimeout/keepAliveProbes)
+	return net.KeepAliveConfig{Enable: true, Idle: gap, Interval: gap, Count: keepAliveProbes}
+}
+
+// control sets AckTimeout on a socket.
+func (cfg Config) control(_, _ string, raw syscall.RawConn) error {
+	if cfg.AckTimeout <= 0 {
+		return nil
+	}
+	var inner error
+	err := raw.Control(func(fd uintptr) {
+		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cfg.AckTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return inner
+}
--- a/io/wire/conn.go
+++ b/io/wire/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -28,6 +29,7 @@
 	sent    int64
 	got     int64
 	silent  bool
+	ended   bool
 	reused  bool
 	idleAt  time.Time
 }
@@ -47,6 +49,7 @@
 	}
 	num, err := con.raw.Read(buf)
 	con.got += int64(num)
+	con.ended = errors.Is(err, io.EOF)
 	con.noteSilence(err)
 	return num, err
 }
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,13 @@
 	Silence time.Duration
 	// Fresh asks for a new connection.
 	Fresh bool
+	// CloseEnds accepts a response without a stated length that ends with an
+	// orderly close of its connection.
+	CloseEnds bool
+	// EchoHeader names a response header that repeats EchoValue. A response
+	// with another value belongs to an earlier request: it is skipped, and the
+	// connection isn't used again. Empty asks for no check.
+	EchoHeader, EchoValue string
 }
 
 // Pool holds the connections to one backend server.
@@ -66,10 +74,10 @@
 	if err != nil {
 		return nil, con != nil && con.reused, err
 	}
-	bod := &Body{ctx: ctx, poo: poo, con: con, stop: stop}
+	bod := &Body{ctx: ctx, poo: poo, con: con, stop: stop, closeEnds: exc.CloseEnds}
 	bod.resp.StreamBody = true
 	bod.resp.SkipBody = exc.Req.Header.IsHead()
-	err = bod.resp.ReadLimitBody(con.rdr, poo.cfg.MaxBody)
+	err = poo.read(bod, exc)
 	if err == nil {
 		return bod, con.reused, nil
 	}
@@ -83,6 +91,30 @@
 	return nil, con.reused, err
 }
 
+// read reads the header of the response that belongs to the request.
+func (poo *Pool) read(bod *Body, exc Exchange) error {
+	for {
+		err := bod.resp.ReadLimitBody(bod.con.rdr, poo.cfg.MaxBody)
+		if err != nil || exc.EchoHeader == "" {
+			return err
+		}
+		echo := bod.resp.Header.Peek(exc.EchoHeader)
+		if len(echo) == 0 || string(echo) == exc.EchoValue {
+			return nil
+		}
+		bod.crossed = true
+		if stm := bod.resp.BodyStream(); stm != nil {
+			_, err = io.Copy(io.Discard, io.LimitReader(stm, int64(poo.cfg.MaxBody)))
+		}
+		if err != nil {
+			return err
+		}
+		_ = bod.resp.CloseBodyStream()
+		bod.resp.Reset()
+		bod.resp.StreamBody = true
+	}
+}
+
 // NoteSilence drops the idle connections if err tells of silence: what lost
 // track of one connection has probably lost track of the others.
 func (poo *Pool) NoteSilence(err error) {
@@ -180,7 +212,7 @@
 		return nil, eris.Wrap(core.Errorf(core.CodeDialFailed, "pool is closed"), poo.addr)
 	}
 	gen := poo.gen.Load()
-	dlr := net.Dialer{Timeout: poo.cfg.DialTimeout}
+	dlr := net.Dialer{Timeout: poo.cfg.DialTimeout, KeepAliveConfig: poo.cfg.keepAlive(), Control: poo.cfg.control}
 	raw, err := dlr.DialContext(ctx, "tcp", poo.addr)
 	if err != nil {
 		return nil, eris.Wrap(core.Errorf(core.CodeDialFailed, "%v", err), poo.addr)
