Repair groups under their own name; let the store confirm the orderer

Ruled out: fencing, as all orders came from the newest term.

Change: one machine a term; survivors are re-formed under the same name with a new epoch; a node orders only while a read of the nodes' topic confirms its term, or while all peers are heard and none reaches the store; lost servers are probed again until they answer.

--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"kumquathinge/core/site"
 )
 
-// Bounds of orders.
+// Bounds of orders and groups.
 const (
 	// answerBound is the time after which an order without an effect in the
 	// server's entry is sent again. It is several round trips and the time
@@ -19,8 +17,14 @@
 	// entry can catch up.
 	conflictPause = 150 * time.Millisecond
 	// closeBound is the time that a closing group has to end its requests
-	// before it is left; streams that are cut go on elsewhere.
-	closeBound = 1500 * time.Millisecond
+	// before its members are ordered on; streams that are cut go on elsewhere.
+	closeBound = 1200 * time.Millisecond
+	// orphanBound is the time after which the members of a group whose head
+	// can't be reached may serve in other groups: an entry lapses within 4 s
+	// and a head without its members breaks within 5 s.
+	orphanBound = 9 * time.Second
+	// joinSlack is added to the time that a join may take.
+	joinSlack = 3 * time.Second
 	// epochsPerTerm is the number of epochs that one term can give out.
 	epochsPerTerm = 1 << 16
 )
@@ -44,42 +48,58 @@
 	hold time.Duration
 }
 
-// stagingMark is a model that is being loaded onto a host.
-type stagingMark struct {
+// plan is a group that this orderer forms.
+type plan struct {
+	epoch   int64
+	model   *site.Model
+	members []string
+	begun   time.Time
+}
+
+// past is what is remembered of one life of a server.
+type past struct {
+	born int64
+	// model is the model of the last group.
 	model string
-	born  int64
-	until time.Time
+	// staging is the model that is being loaded onto the host, until the time.
+	staging string
+	until   time.Time
 }
 
-type groupKey struct {
-	name  string
+// trace is what is remembered of a group's name.
+type trace struct {
+	model string
+	// closed is the time of the order to close, orphaned the time since which
+	// the head can't be reached, joining the time since which members join
+	// that an earlier orderer told to.
+	closed, orphaned, joining time.Time
+	// left tells that the head was told to leave.
+	left  bool
 	epoch int64
 }
 
 // Machine plans the groups of a deployment during one term of its orderer.
 type Machine struct {
-	term    int64
-	epochs  int64
-	pend    map[string]*pending
-	lists   map[groupKey][]string
-	models  map[groupKey]string
-	closing map[groupKey]time.Time
-	staging map[string]stagingMark
-	loads   *loadBudget
-	names   int64
+	term   int64
+	epochs int64
+	names  int64
+	pend   map[string]*pending
+	plans  map[string]*plan
+	pasts  map[string]*past
+	traces map[string]*trace
+	loads  *loadBudget
 }
 
 // New returns a Machine for the term. Terms grow with each change of the
-// orderer.
+// orderer, and a term has one Machine only: names and epochs come from it.
 func New(term int64) *Machine {
 	return &Machine{
-		term:    term,
-		pend:    map[string]*pending{},
-		lists:   map[groupKey][]string{},
-		models:  map[groupKey]string{},
-		closing: map[groupKey]time.Time{},
-		staging: map[string]stagingMark{},
-		loads:   &loadBudget{},
+		term:   term,
+		pend:   map[string]*pending{},
+		plans:  map[string]*plan{},
+		pasts:  map[string]*past{},
+		traces: map[string]*trace{},
+		loads:  &loadBudget{},
 	}
 }
 
@@ -92,14 +112,15 @@
 		return nil
 	}
 	mac.settle(inp)
-	stp := newStep(mac, inp)
-	for _, svc := range inp.Table.Config().Services {
-		if svc.Engine == nil {
-			continue
+	mac.remember(inp)
+	var out []site.Order
+	for idx := range inp.Table.Config().Services {
+		svc := &inp.Table.Config().Services[idx]
+		if svc.Engine != nil {
+			out = append(out, newStep(mac, inp, svc).run()...)
 		}
-		stp.service(&svc)
 	}
-	return stp.orders
+	return out
 }
 
 // Answer tells how a server answered an order.
@@ -108,27 +129,19 @@
 	if pnd == nil || pnd.ord.Kind != ord.Kind || pnd.ord.Epoch != ord.Epoch || pnd.ord.Group != ord.Group {
 		return
 	}
-	switch res {
-	case site.OrderDone:
-		// The state held before, so the entry shows it soon or already.
-		pnd.sent = now
-		pnd.hold = conflictPause
-	case site.OrderBegun, site.OrderUnknown:
-	default:
+	if res != site.OrderBegun && res != site.OrderUnknown {
+		// The state held before, or the order doesn't fit: in both cases the
+		// entry soon shows more.
 		pnd.sent = now
 		pnd.hold = conflictPause
 	}
 }
 
-// Pending returns the IDs of the servers whose orders are not yet in effect.
-func (mac *Machine) Pending() []string { return slices.Sorted(maps.Keys(mac.pend)) }
-
 // settle forgets orders that took effect or got no answer in time.
 func (mac *Machine) settle(inp Input) {
 	for id, pnd := range mac.pend {
 		srv := inp.View.Server(id)
-		switch {
-		case srv == nil, inEffect(pnd.ord, srv), inp.Now.Sub(pnd.sent) >= pnd.hold:
+		if srv == nil || inEffect(pnd.ord, srv) || inp.Now.Sub(pnd.sent) >= pnd.hold {
 			delete(mac.pend, id)
 		}
 	}
@@ -150,14 +163,37 @@
 	return srv.Has(ord.Model)
 }
 
-// stagingOf returns the model that is being loaded onto the server's host,
-// empty if none is.
-func (mac *Machine) stagingOf(srv *site.Server, now time.Time) string {
-	mrk, ok := mac.staging[srv.ID]
-	if !ok || mrk.born != srv.Born || !now.Before(mrk.until) || len(srv.Staged) > 0 {
-		return ""
+// remember notes the models of servers and groups, which entries show only for
+// a time, and forgets servers that are gone.
+func (mac *Machine) remember(inp Input) {
+	for id, srv := range inp.View.Servers() {
+		pst := mac.pasts[id]
+		if pst == nil || pst.born != srv.Born {
+			pst = &past{born: srv.Born}
+			mac.pasts[id] = pst
+		}
+		if srv.Model != "" {
+			pst.model = srv.Model
+		}
+		if pst.staging != "" && (srv.Has(pst.staging) || !inp.Now.Before(pst.until)) {
+			pst.staging = ""
+		}
+	}
+	for id := range mac.pasts {
+		if inp.View.Server(id) == nil {
+			delete(mac.pasts, id)
+		}
+	}
+}
+
+// trace returns what is remembered of a group's name.
+func (mac *Machine) trace(name string) *trace {
+	trc := mac.traces[name]
+	if trc == nil {
+		trc = &trace{}
+		mac.traces[name] = trc
 	}
-	return mrk.model
+	return trc
 }
 
 // epoch returns an epoch that is higher than any given out before.
--- /dev/null
+++ b/core/place/repair.go
@@ -0,0 +1,101 @@
+package place
+
+import (
+	"slices"
+
+	"kumquathinge/core/site"
+)
+
+// repair brings a group that misses members, or that a member leaves, back
+// under its own name with a new epoch, or ends it. The members are held.
+func (stp *step) repair(sqd *squad) {
+	trc := stp.mac.trace(sqd.name)
+	if sqd.group == nil {
+		return
+	}
+	mems := sqd.survivors(stp)
+	if len(mems) == 0 || sqd.model == nil {
+		// Nobody can be asked: all are lost, or leave, or have told no model.
+		stp.leave(sqd)
+		return
+	}
+	spares := stp.fastest(sqd.model, stp.free(sqd.group.Domain))
+	need := sqd.model.Size - len(mems)
+	if need <= 0 || need <= len(spares) && stp.rank(sqd.model, spares[need-1]) <= rankStaging {
+		stp.replace(sqd, trc, mems, spares[:max(0, need)])
+		return
+	}
+	if stp.working(sqd) {
+		// A member leaves and none can stand in: the group serves on while the
+		// member stays.
+		stp.have[sqd.model.Name] += len(mems)
+		return
+	}
+	stp.dissolve(sqd, trc, mems)
+}
+
+// working reports whether no member is missing and the head may serve.
+func (stp *step) working(sqd *squad) bool {
+	grp := sqd.group
+	return grp.Complete() && (grp.Head().Group.State == site.GroupOpen || grp.Head().Group.State == site.GroupClosing) &&
+		!slices.ContainsFunc(grp.Members, func(mem *site.Server) bool { return !stp.present(mem) })
+}
+
+// replace starts a new epoch with the survivors and the spares. A group that
+// serves gets a short time to end its requests first, if it still can.
+func (stp *step) replace(sqd *squad, trc *trace, mems, spares []*site.Server) {
+	hea := sqd.group.Head()
+	if stp.working(sqd) {
+		if trc.closed.IsZero() {
+			if stp.send(hea, site.Order{Kind: site.OrderClose, Group: sqd.name, Epoch: sqd.group.Epoch}) {
+				trc.closed = stp.inp.Now
+			}
+			return
+		}
+		if stp.inp.Now.Sub(trc.closed) < closeBound {
+			stp.hold(spares...)
+			return
+		}
+	}
+	mems = append(slices.Clone(mems), spares...)[:sqd.model.Size]
+	if slices.ContainsFunc(mems, func(mem *site.Server) bool { return stp.mac.pend[mem.ID] != nil }) || !stp.load(sqd.model, mems) {
+		return
+	}
+	stp.start(sqd.name, sqd.model, mems)
+}
+
+// dissolve ends a group for which there are no spares. Its members are free
+// for others as soon as its head surely doesn't serve.
+func (stp *step) dissolve(sqd *squad, trc *trace, mems []*site.Server) {
+	hea := sqd.group.Head()
+	switch {
+	case stp.present(hea) && (hea.Group.State == site.GroupJoining || hea.Group.State == site.GroupBroken):
+		stp.release(mems)
+	case stp.present(hea):
+		stp.leave(sqd)
+	default:
+		if trc.orphaned.IsZero() {
+			trc.orphaned = stp.inp.Now
+		}
+		if hea == nil && sqd.group.Members[0] == nil && trc.left || stp.inp.Now.Sub(trc.orphaned) > orphanBound {
+			stp.release(mems)
+		}
+	}
+}
+
+// leave ends a group at its head.
+func (stp *step) leave(sqd *squad) {
+	hea := sqd.group.Head()
+	if stp.present(hea) {
+		if stp.send(hea, site.Order{Kind: site.OrderLeave, Group: sqd.name, Epoch: sqd.group.Epoch}) {
+			stp.mac.trace(sqd.name).left = true
+		}
+	}
+}
+
+// release lets servers join other groups.
+func (stp *step) release(srvs []*site.Server) {
+	for _, srv := range srvs {
+		delete(stp.held, srv.ID)
+	}
+}
--- a/core/place/step.go
+++ b/core/place/step.go
@@ -2,30 +2,47 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"kumquathinge/core/site"
 )
 
-// step is one pass of a Machine over its input.
+// step is one pass of a Machine over the servers of one service.
 type step struct {
 	mac    *Machine
 	inp    Input
+	svc    *site.Service
 	orders []site.Order
-	groups map[groupKey]*site.Group
-	// held are the servers that can't be ordered into a group now.
+	// held are the servers that can't be ordered into another group now.
 	held map[string]bool
 	// have counts the servers in groups by model, standing or being formed.
 	have map[string]int
 }
 
-func newStep(mac *Machine, inp Input) *step {
-	stp := &step{mac: mac, inp: inp, groups: map[groupKey]*site.Group{}, held: map[string]bool{}, have: map[string]int{}}
-	for _, grp := range inp.View.Groups() {
-		stp.groups[groupKey{name: grp.Name, epoch: grp.Epoch}] = grp
+func newStep(mac *Machine, inp Input, svc *site.Service) *step {
+	return &step{mac: mac, inp: inp, svc: svc, held: map[string]bool{}, have: map[string]int{}}
+}
+
+// run returns the orders of the pass.
+func (stp *step) run() []site.Order {
+	squads := stp.squads()
+	var broken []*squad
+	for _, sqd := range squads {
+		if !stp.advance(sqd) {
+			broken = append(broken, sqd)
+		}
 	}
-	return stp
+	// Larger groups are worth more and find spares harder.
+	slices.SortStableFunc(broken, func(one, two *squad) int { return cmp.Compare(two.size(), one.size()) })
+	for _, sqd := range broken {
+		stp.hold(sqd.survivors(stp)...)
+	}
+	for _, sqd := range broken {
+		stp.repair(sqd)
+	}
+	stp.form()
+	stp.stageSpares()
+	return stp.orders
 }
 
 // usable reports whether the server is there to stay.
@@ -38,6 +55,15 @@
 	return srv != nil && !stp.inp.Lost(srv.ID)
 }
 
+// hold keeps servers where they are.
+func (stp *step) hold(srvs ...*site.Server) {
+	for _, srv := range srvs {
+		if srv != nil {
+			stp.held[srv.ID] = true
+		}
+	}
+}
+
 // send adds an order unless one to the server is still pending.
 func (stp *step) send(srv *site.Server, ord site.Order) bool {
 	if stp.mac.pend[srv.ID] != nil {
@@ -50,232 +76,65 @@
 	return true
 }
 
-// service brings the groups of one service forward and forms new ones.
-func (stp *step) service(svc *site.Service) {
-	for _, grp := range stp.inp.View.Groups() {
-		if grp.Service == svc.Name {
-			stp.advance(grp)
-		}
-	}
-	stp.advanceLists(svc)
-	domains := map[string][]*site.Server{}
+// free returns the usable servers of a domain that no group needs, by ID.
+func (stp *step) free(domain string) []*site.Server {
+	var out []*site.Server
 	for _, srv := range stp.inp.View.Servers() {
-		if srv.Service == svc.Name && srv.Domain != "" && stp.usable(srv) && !stp.held[srv.ID] && stp.mac.pend[srv.ID] == nil {
-			domains[srv.Domain] = append(domains[srv.Domain], srv)
-		}
-	}
-	names := make([]string, 0, len(domains))
-	for nam := range domains {
-		names = append(names, nam)
-	}
-	slices.Sort(names)
-	for _, nam := range names {
-		srvs := domains[nam]
-		slices.SortFunc(srvs, func(one, two *site.Server) int { return cmp.Compare(one.ID, two.ID) })
-		domains[nam] = srvs
-	}
-	stp.form(svc, names, domains)
-	for _, nam := range names {
-		stp.stage(svc, domains[nam])
-	}
-}
-
-// advance moves a group that its members report one step on and holds the
-// members that it needs.
-func (stp *step) advance(grp *site.Group) {
-	key := groupKey{name: grp.Name, epoch: grp.Epoch}
-	hea := grp.Head()
-	whole := true
-	ready := true
-	for _, mem := range grp.Members {
-		whole = whole && stp.present(mem)
-		ready = ready && mem != nil && mem.Group.State == site.GroupReady
-	}
-	leaving := slices.ContainsFunc(grp.Members, func(mem *site.Server) bool { return mem != nil && mem.Draining })
-	serving := stp.present(hea) && (hea.Group.State == site.GroupOpen || hea.Group.State == site.GroupClosing)
-	forming := stp.mac.lists[key] != nil && !serving
-	switch {
-	case serving && whole && !leaving && hea.Group.State == site.GroupOpen:
-		delete(stp.mac.lists, key)
-		stp.hold(grp)
-	case serving && whole:
-		stp.hold(grp)
-		stp.retire(grp, key)
-	case serving:
-		stp.hold(grp)
-		stp.send(hea, site.Order{Kind: site.OrderLeave, Group: grp.Name, Epoch: grp.Epoch})
-	case whole && !leaving && ready:
-		stp.hold(grp)
-		stp.send(hea, site.Order{Kind: site.OrderOpen, Group: grp.Name, Epoch: grp.Epoch})
-	case whole && !leaving && !forming && (hea.Group.State == site.GroupJoining || hea.Group.State == site.GroupReady):
-		// An earlier orderer began it and its members get ready.
-		stp.hold(grp)
-	case forming:
-		// advanceLists looks at it.
-	case stp.present(hea) && hea.Group.State != site.GroupBroken && hea.Group.State != site.GroupJoining:
-		// A head that is ready may have been opened by an order that is late.
-		stp.hold(grp)
-		stp.send(hea, site.Order{Kind: site.OrderLeave, Group: grp.Name, Epoch: grp.Epoch})
-	}
-}
-
-// retire closes a group one of whose members leaves.
-func (stp *step) retire(grp *site.Group, key groupKey) {
-	hea := grp.Head()
-	since, ok := stp.mac.closing[key]
-	switch {
-	case !ok:
-		if stp.send(hea, site.Order{Kind: site.OrderClose, Group: grp.Name, Epoch: grp.Epoch}) {
-			stp.mac.closing[key] = stp.inp.Now
-		}
-	case stp.inp.Now.Sub(since) > closeBound:
-		stp.send(hea, site.Order{Kind: site.OrderLeave, Group: grp.Name, Epoch: grp.Epoch})
-	}
-}
-
-// hold keeps the members of a group where they are.
-func (stp *step) hold(grp *site.Group) {
-	num := 0
-	for _, mem := range grp.Members {
-		if mem != nil {
-			stp.held[mem.ID] = true
-			num++
-		}
-	}
-	if stp.mac.lists[groupKey{name: grp.Name, epoch: grp.Epoch}] == nil {
-		stp.have[grp.Model] += num
-	}
-}
-
-// advanceLists goes on with the groups that this orderer is forming.
-func (stp *step) advanceLists(svc *site.Service) {
-	for key, ids := range stp.mac.lists {
-		first := stp.inp.View.Server(ids[0])
-		if first != nil && first.Service != svc.Name {
-			continue
-		}
-		lst := stp.joins(key, ids)
-		if lst == nil {
-			delete(stp.mac.lists, key)
-			continue
-		}
-		stp.have[lst.model] += len(ids)
-	}
-}
-
-// joinList is a group that is being formed.
-type joinList struct {
-	model string
-}
-
-// joins sends the missing join orders of a group that is being formed. It
-// returns nil if the group can't be formed any more.
-func (stp *step) joins(key groupKey, ids []string) *joinList {
-	model := stp.mac.models[key]
-	for _, id := range ids {
-		srv := stp.inp.View.Server(id)
-		if !stp.usable(srv) || srv.Group.Epoch > key.epoch {
-			return nil
+		if srv.Service == stp.svc.Name && srv.Domain == domain && stp.usable(srv) && !stp.held[srv.ID] && stp.mac.pend[srv.ID] == nil {
+			out = append(out, srv)
 		}
 	}
-	for _, id := range ids {
-		srv := stp.inp.View.Server(id)
-		stp.held[id] = true
-		if srv.Group.Name == key.name && srv.Group.Epoch == key.epoch {
-			continue
-		}
-		stp.send(srv, site.Order{Kind: site.OrderJoin, Group: key.name, Epoch: key.epoch, Model: model, Members: ids})
-	}
-	return &joinList{model: model}
+	slices.SortFunc(out, func(one, two *site.Server) int { return cmp.Compare(one.ID, two.ID) })
+	return out
 }
 
-// form makes new groups of free servers, the model that is shortest first.
-func (stp *step) form(svc *site.Service, names []string, domains map[string][]*site.Server) {
-	for {
-		best, where := stp.next(svc, names, domains)
-		if best == nil {
-			return
-		}
-		mems, rest := stp.pick(best, domains[where])
-		if mems == nil {
-			return
-		}
-		domains[where] = rest
-		stp.start(best, mems)
-	}
-}
-
-// next returns the model of the next group and its domain, nil if none fits.
-func (stp *step) next(svc *site.Service, names []string, domains map[string][]*site.Server) (*site.Model, string) {
-	ratio := func(mod *site.Model) float64 { return float64(stp.have[mod.Name]) / max(mod.Share, minShare) }
-	low := math.Inf(1)
-	for idx := range svc.Engine.Models {
-		low = min(low, ratio(&svc.Engine.Models[idx]))
-	}
-	var best *site.Model
-	where, cost := "", math.Inf(1)
-	for idx := range svc.Engine.Models {
-		mod := &svc.Engine.Models[idx]
-		if best != nil && ratio(mod) >= ratio(best) || ratio(mod) > low*surplus {
-			continue
-		}
-		for _, nam := range names {
-			if len(domains[nam]) < mod.Size {
-				continue
-			}
-			if val := stp.cost(mod, domains[nam]); best != mod || val < cost {
-				best, where, cost = mod, nam, val
-			}
+// domains returns the domains of the service by name.
+func (stp *step) domains() []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, srv := range stp.inp.View.Servers() {
+		if srv.Service == stp.svc.Name && srv.Domain != "" && !seen[srv.Domain] {
+			seen[srv.Domain] = true
+			out = append(out, srv.Domain)
 		}
 	}
-	return best, where
+	slices.Sort(out)
+	return out
 }
 
-const (
-	// minShare stands for the share of a model that the configuration gives
-	// none, so that it gets a group where servers are left.
-	minShare = 0.01
-	// surplus is the factor by which a model may have more servers for its
-	// share than the model that has the fewest.
-	surplus = 1.15
-)
-
 // rank tells how fast a server can join a group of the model, lower is faster.
 func (stp *step) rank(mod *site.Model, srv *site.Server) int {
+	pst := stp.mac.pasts[srv.ID]
 	switch {
-	case srv.Model == mod.Name && srv.Has(mod.Name):
-		return 0
+	case pst != nil && pst.model == mod.Name:
+		return rankSame
 	case srv.Has(mod.Name):
-		return 1
-	case stp.mac.stagingOf(srv, stp.inp.Now) == mod.Name:
-		return 2
+		return rankStaged
+	case pst != nil && pst.staging == mod.Name:
+		return rankStaging
 	}
-	return 3
+	return rankLoad
 }
 
-// cost is the number of loads that a group of the model needs in a domain.
-func (stp *step) cost(mod *site.Model, srvs []*site.Server) float64 {
-	num := 0
-	for _, srv := range srvs {
-		if stp.rank(mod, srv) < 2 {
-			num++
-		}
-	}
-	return float64(max(0, mod.Size-num))
-}
+// Ranks of servers for a model.
+const (
+	// rankSame: the last group of this life served the model.
+	rankSame = iota
+	// rankStaged: the model lies on the host.
+	rankStaged
+	// rankStaging: the model is being loaded onto the host.
+	rankStaging
+	// rankLoad: the model has to be loaded.
+	rankLoad
+)
 
-// pick returns the members of a new group and the servers that are left. It
-// returns no members if the loads that they need must wait.
-func (stp *step) pick(mod *site.Model, srvs []*site.Server) ([]*site.Server, []*site.Server) {
+// fastest sorts servers by their rank for the model.
+func (stp *step) fastest(mod *site.Model, srvs []*site.Server) []*site.Server {
 	srvs = slices.Clone(srvs)
 	slices.SortStableFunc(srvs, func(one, two *site.Server) int {
 		return cmp.Compare(stp.rank(mod, one), stp.rank(mod, two))
 	})
-	mems := srvs[:mod.Size]
-	if !stp.load(mod, mems) {
-		return nil, srvs
-	}
-	return mems, srvs[mod.Size:]
+	return srvs
 }
 
 // load takes the loads that the servers need for the model from the budget. It
@@ -286,15 +145,11 @@
 	}
 	num := 0
 	for _, srv := range srvs {
-		if !srv.Has(mod.Name) {
+		if stp.rank(mod, srv) == rankLoad {
 			num++
 		}
 	}
-	if num == 0 {
-		return true
-	}
-	svc := stp.inp.Table.Service(srvs[0].Service)
-	if num > stp.mac.loads.free(stp.inp.Now, svc.Engine.LoadsPerSec) {
+	if num > 0 && num > stp.mac.loads.free(stp.inp.Now, stp.svc.Engine.LoadsPerSec) {
 		return false
 	}
 	for range num {
@@ -303,57 +158,27 @@
 	return true
 }
 
-// start begins a group of the members, the head first.
-func (stp *step) start(mod *site.Model, mems []*site.Server) {
-	key := groupKey{name: stp.mac.name(), epoch: stp.mac.epoch()}
-	ids := make([]string, len(mems))
-	for idx, mem := range mems {
-		ids[idx] = mem.ID
+// start begins an epoch of a group with the members, the head first.
+func (stp *step) start(name string, mod *site.Model, mems []*site.Server) {
+	pln := &plan{epoch: stp.mac.epoch(), model: mod, begun: stp.inp.Now}
+	for _, mem := range mems {
+		pln.members = append(pln.members, mem.ID)
 	}
-	stp.mac.lists[key] = ids
-	stp.mac.models[key] = mod.Name
-	stp.joins(key, ids)
-	stp.have[mod.Name] += len(ids)
+	stp.mac.plans[name] = pln
+	trc := stp.mac.trace(name)
+	*trc = trace{model: mod.Name, epoch: pln.epoch}
+	stp.join(name, pln)
 }
 
-// stagingFactor is how many times its usual time a load may take when others
-// load at the same time.
-const stagingFactor = 2
-
-// stage loads models onto the hosts of servers that no group needs, so that
-// they can stand in for a lost member.
-func (stp *step) stage(svc *site.Service, srvs []*site.Server) {
-	want := slices.Clone(svc.Engine.Models)
-	slices.SortStableFunc(want, func(one, two site.Model) int { return cmp.Compare(two.Size, one.Size) })
-	var left []*site.Server
-	staged := map[string]int{}
-	for _, srv := range srvs {
-		if stp.held[srv.ID] || stp.mac.pend[srv.ID] != nil {
-			continue
-		}
-		if nam := stp.mac.stagingOf(srv, stp.inp.Now); nam != "" {
-			staged[nam]++
-			continue
-		}
-		if len(srv.Staged) == 0 {
-			left = append(left, srv)
+// join sends the join orders of a plan that are still missing.
+func (stp *step) join(name string, pln *plan) {
+	stp.have[pln.model.Name] += len(pln.members)
+	for _, id := range pln.members {
+		srv := stp.inp.View.Server(id)
+		stp.hold(srv)
+		if srv.Group.Name == name && srv.Group.Epoch == pln.epoch {
 			continue
 		}
-		for _, nam := range srv.Staged {
-			staged[nam]++
-		}
-	}
-	for _, srv := range left {
-		slices.SortStableFunc(want, func(one, two site.Model) int { return cmp.Compare(staged[one.Name], staged[two.Name]) })
-		mod := want[0]
-		if !stp.load(&mod, []*site.Server{srv}) {
-			return
-		}
-		if stp.send(srv, site.Order{Kind: site.OrderStage, Model: mod.Name}) {
-			staged[mod.Name]++
-			stp.mac.staging[srv.ID] = stagingMark{
-				model: mod.Name, born: srv.Born, until: stp.inp.Now.Add(stagingFactor * mod.LoadTime),
-			}
-		}
+		stp.send(srv, site.Order{Kind: site.OrderJoin, Group: name, Epoch: pln.epoch, Model: pln.model.Name, Members: pln.members})
 	}
 }
--- a/core/site/view.go
+++ b/core/site/view.go
@@ -12,6 +12,9 @@
 	Service string
 	Model   string
 	Domain  string
+	// Size is the number of members of the model's groups, zero while no
+	// member has told the model.
+	Size int
 	// Members are the members by rank. Missing ones are nil.
 	Members []*Server
 }
@@ -20,7 +23,9 @@
 func (grp *Group) Head() *Server { return grp.Members[0] }
 
 // Complete reports whether no member is missing.
-func (grp *Group) Complete() bool { return !slices.Contains(grp.Members, nil) }
+func (grp *Group) Complete() bool {
+	return grp.Size > 0 && len(grp.Members) == grp.Size && !slices.Contains(grp.Members, nil)
+}
 
 // Serving reports whether requests may go to the head: it is open, no member
 // is missing and the head stays.
@@ -82,21 +87,20 @@
 
 // place puts a server into its group.
 func (vie *View) place(byKey map[groupKey]*Group, srv *Server, tab *Table) {
-	size := 0
-	if tab != nil {
-		if mod := tab.Model(srv.Model); mod != nil {
-			size = mod.Size
-		}
-	}
 	key := groupKey{name: srv.Group.Name, epoch: srv.Group.Epoch}
 	grp := byKey[key]
 	if grp == nil {
-		grp = &Group{Name: key.name, Epoch: key.epoch, Service: srv.Service, Model: srv.Model, Domain: srv.Domain}
-		grp.Members = make([]*Server, max(size, srv.Group.Rank+1))
+		grp = &Group{Name: key.name, Epoch: key.epoch, Service: srv.Service, Domain: srv.Domain}
 		byKey[key] = grp
 		vie.groups = append(vie.groups, grp)
 	}
-	for len(grp.Members) <= srv.Group.Rank {
+	if grp.Model == "" && srv.Model != "" {
+		grp.Model = srv.Model
+		if tab != nil && tab.Model(srv.Model) != nil {
+			grp.Size = tab.Model(srv.Model).Size
+		}
+	}
+	for len(grp.Members) <= srv.Group.Rank || len(grp.Members) < grp.Size {
 		grp.Members = append(grp.Members, nil)
 	}
 	grp.Members[srv.Group.Rank] = srv
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -55,6 +55,7 @@
 	fresh := true
 	for ctx.Err() == nil {
 		var err error
+		sent := time.Now()
 		if fresh {
 			err = fol.newest(ctx)
 		} else {
@@ -65,6 +66,9 @@
 			fresh = false
 			fol.pause = 0
 			fol.up()
+			if fol.topic == platform.TopicNodes {
+				fol.hea.confirm(sent)
+			}
 		case errors.Is(err, platform.ErrTrimmed):
 			fol.log.WithFields(logrus.Fields{"event": "store_gap", "topic": fol.topic, "from": fol.next}).Warn("records dropped before they were read; reading the newest ones")
 			fresh = true
--- a/entry/node.go
+++ b/entry/node.go
@@ -38,7 +38,7 @@
 const (
 	followWait = 6 * time.Second
 	// followWaitNodes is shorter: it also shows whether the store answers.
-	followWaitNodes = 3 * time.Second
+	followWaitNodes = time.Second
 )
 
 // Connections to backend servers.
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -26,12 +26,16 @@
 	// probePause is the pause before a group that was probed without finding
 	// a loss is probed again.
 	probePause = 700 * time.Millisecond
-	// lostBound is the time for which a server that didn't answer is taken as
-	// lost, unless its entry changes. By then its entry lapses.
-	lostBound = 6 * time.Second
-	// storeBound is the time without the store after which the orderer gives
-	// way to a node that reaches it.
-	storeBound = 1200 * time.Millisecond
+	// storeBound is the time for which an answer of the store confirms that no
+	// other node orders. Reads of the nodes' topic come twice within it.
+	storeBound = 2200 * time.Millisecond
+	// confirmBound is the time after which a VM that stood still goes by the
+	// peers if the store doesn't answer.
+	confirmBound = 3 * time.Second
+	// firstPause is the wait before a claim, for the reports of the peers.
+	firstPause = 200 * time.Millisecond
+	// recheckPause is the pause between two probes of a lost server.
+	recheckPause = 700 * time.Millisecond
 	// sleepBound is the pause between two looks that shows that the process
 	// stood still, so that another node may order by now.
 	sleepBound = 600 * time.Millisecond
@@ -54,6 +58,8 @@
 	busy func() int64
 
 	mac     *place.Machine
+	active  bool
+	woke    time.Time
 	lost    map[string]lostMark
 	probed  map[string]time.Time
 	waiting time.Time
@@ -61,10 +67,11 @@
 	done    chan func()
 }
 
-// lostMark is a server that didn't answer.
+// lostMark is a server that didn't answer, and when it was asked last.
 type lostMark struct {
-	srv *site.Server
-	at  time.Time
+	srv   *site.Server
+	at    time.Time
+	asked time.Time
 }
 
 // run orders, or watches the node that does, until ctx ends.
@@ -91,49 +98,65 @@
 func (ord *orderer) look(ctx context.Context, now time.Time) {
 	// The time of day also counts the time for which the VM stood still.
 	slept := now.Round(0).Sub(ord.last.Round(0))
+	if slept > sleepBound {
+		ord.woke = now
+	}
 	ord.last = now
 	ros := ord.sta.nodes.Load()
-	own := ros.term > 0 && ros.orderer == ord.self
-	if !own {
-		ord.resign("another node orders")
+	if ros.term == 0 || ros.orderer != ord.self {
+		ord.pause("another node orders")
 		ord.candidate(ctx, ros, now)
 		return
 	}
-	if slept > sleepBound && ord.mac != nil {
-		ord.resign("this VM stood still")
-	}
-	if ord.yields(now) {
-		ord.resign("the store doesn't answer this node")
+	if why := ord.blocked(ros, now); why != "" {
+		ord.pause(why)
 		return
 	}
 	if ord.mac == nil || ord.mac.Term() != ros.term {
 		ord.mac = place.New(ros.term)
+	}
+	if !ord.active {
+		ord.active = true
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": ros.term}).Info("this node orders")
 	}
 	ord.suspect(ctx, now)
+	ord.recheck(ctx, now)
 	ord.order(ctx, now)
 }
 
-func (ord *orderer) resign(why string) {
-	if ord.mac == nil {
+// pause ends the orders of this node. Its Machine stays, since a term has one
+// only.
+func (ord *orderer) pause(why string) {
+	if !ord.active {
 		return
 	}
+	ord.active = false
 	ord.log.WithFields(logrus.Fields{"event": "orderer_stop", "term": ord.mac.Term(), "reason": why}).Info("this node no longer orders")
-	ord.mac = nil
 }
 
-// yields reports whether another live node reaches the store and this one
-// doesn't.
-func (ord *orderer) yields(now time.Time) bool {
-	if ord.hea.age(now) < storeBound {
-		return false
+// blocked returns why this node may not order although the store names it:
+// another node may have taken over unseen. It is empty if that is ruled out.
+func (ord *orderer) blocked(ros *roster, now time.Time) string {
+	if now.Sub(ord.woke) < confirmBound && ord.hea.confirmed().Before(ord.woke) {
+		return "this VM stood still and the store has not confirmed the term since"
 	}
-	for _, hrd := range ord.prs.live(now) {
-		if hrd.beat.StoreAge == 0 && !hrd.beat.Stopping {
-			return true
+	if now.Sub(ord.hea.confirmed()) < storeBound {
+		return ""
+	}
+	live := ord.prs.live(now)
+	for nam := range ros.nodes {
+		hrd, ok := live[nam]
+		switch {
+		case nam == ord.self.Node:
+		case !ok:
+			return "the store doesn't answer and peer " + nam + " isn't heard"
+		case hrd.beat.StoreAge == 0:
+			return "the store answers peer " + nam + " and not this node"
+		case hrd.beat.Term > ros.term:
+			return "peer " + nam + " knows a later orderer"
 		}
 	}
-	return false
+	return ""
 }
 
 // candidate takes over if no node orders and this one is the next.
@@ -145,7 +168,7 @@
 	if ord.waiting.IsZero() {
 		ord.waiting = now
 	}
-	if now.Sub(ord.waiting) < time.Duration(ord.rank(ros, now))*rankPause {
+	if now.Sub(ord.waiting) < firstPause+time.Duration(ord.rank(ros, now))*rankPause {
 		return
 	}
 	raw, err := json.Marshal(ord.self)
@@ -161,13 +184,17 @@
 	ord.waiting = now
 }
 
-// served reports whether the orderer is there and reaches the store.
+// served reports whether the orderer is there and reaches the store. One of
+// which this node has read just now may not have been heard yet.
 func (ord *orderer) served(ros *roster, now time.Time) bool {
 	if ros.term == 0 {
 		return false
 	}
 	hrd, ok := ord.prs.live(now)[ros.orderer.Node]
-	return ok && hrd.beat.Life == ros.orderer.Life && hrd.beat.StoreAge < storeBound && !hrd.beat.Stopping
+	if !ok {
+		return now.Sub(ros.since) < liveBound
+	}
+	return hrd.beat.Life == ros.orderer.Life && hrd.beat.StoreAge < storeBound && !hrd.beat.Stopping
 }
 
 // rank returns how many live nodes come before this one.
@@ -187,7 +214,7 @@
 func (ord *orderer) order(ctx context.Context, now time.Time) {
 	tab := ord.sta.table.Load()
 	ords := ord.mac.Step(place.Input{
-		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: func(id string) bool { return ord.isLost(id, now) }, Calm: ord.busy() == 0,
+		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: func(id string) bool { return ord.isLost(id) }, Calm: ord.busy() == 0,
 	})
 	mac := ord.mac
 	for _, one := range ords {
@@ -211,18 +238,31 @@
 }
 
 // isLost reports whether a server didn't answer and has said nothing since.
-func (ord *orderer) isLost(id string, now time.Time) bool {
+func (ord *orderer) isLost(id string) bool {
 	mrk, ok := ord.lost[id]
 	if !ok {
 		return false
 	}
-	if now.Sub(mrk.at) > lostBound || ord.sta.view.Load().Server(id) != mrk.srv {
+	srv := ord.sta.view.Load().Server(id)
+	if srv == nil || srv.Born != mrk.srv.Born {
 		delete(ord.lost, id)
 		return false
 	}
 	return true
 }
 
+// recheck asks the lost servers again.
+func (ord *orderer) recheck(ctx context.Context, now time.Time) {
+	for id, mrk := range ord.lost {
+		if now.Sub(mrk.asked) < recheckPause || !ord.isLost(id) {
+			continue
+		}
+		mrk.asked = now
+		ord.lost[id] = mrk
+		go ord.probe(ctx, mrk.srv)
+	}
+}
+
 // suspect probes the members of groups whose heads send nothing.
 func (ord *orderer) suspect(ctx context.Context, now time.Time) {
 	var heads []string
@@ -254,14 +294,26 @@
 	var err error
 	for range 2 {
 		ord.met.probes.Inc()
-		var cancel context.CancelFunc
 		pctx, cancel := context.WithTimeout(ctx, probeBound)
 		_, err = ord.svs.Report(pctx, srv)
 		cancel()
 		if err == nil {
-			return
+			break
 		}
 	}
-	ord.log.WithFields(logrus.Fields{"event": "server_lost", "server": srv.ID, "group": srv.Group.Name, "epoch": srv.Group.Epoch, "error": err}).Warn("server doesn't answer")
-	ord.done <- func() { ord.lost[srv.ID] = lostMark{srv: srv, at: time.Now()} }
+	ord.done <- func() { ord.probedOne(srv, err, time.Now()) }
+}
+
+// probedOne notes whether a server answered.
+func (ord *orderer) probedOne(srv *site.Server, err error, now time.Time) {
+	_, lost := ord.lost[srv.ID]
+	ent := ord.log.WithFields(logrus.Fields{"server": srv.ID, "group": srv.Group.Name, "epoch": srv.Group.Epoch, "error": err})
+	switch {
+	case err == nil && lost:
+		delete(ord.lost, srv.ID)
+		ent.WithField("event", "server_found").Info("server answers again")
+	case err != nil && !lost:
+		ord.lost[srv.ID] = lostMark{srv: srv, at: now, asked: now}
+		ent.WithField("event", "server_lost").Warn("server doesn't answer")
+	}
 }
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -33,7 +33,7 @@
 
 // apply takes records of the nodes' topic.
 func (enr *enroller) apply(chg change) {
-	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end}
+	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end, since: enr.ros.since}
 	for nam, rec := range enr.ros.nodes {
 		nxt.nodes[nam] = rec
 	}
@@ -46,7 +46,7 @@
 		}
 		switch {
 		case rec.Key == keyOrderer:
-			nxt.orderer, nxt.term = nod, rec.Offset+1
+			nxt.orderer, nxt.term, nxt.since = nod, rec.Offset+1, time.Now()
 			enr.log.WithFields(logrus.Fields{"event": "orderer", "node": nod.Node, "life": nod.Life, "term": nxt.term}).Info("another node orders")
 		case strings.HasPrefix(rec.Key, keyNodePrefix):
 			nxt.nodes[nod.Node] = nod
--- a/entry/state.go
+++ b/entry/state.go
@@ -48,6 +48,8 @@
 	term    int64
 	// end is the end of the topic that the roster was read to.
 	end int64
+	// since is the time at which this node read of the orderer.
+	since time.Time
 }
 
 // health tells since when the store answers or doesn't.
@@ -60,6 +62,8 @@
 	down  atomic.Bool
 	since atomic.Int64
 	start time.Time
+	// nodes is the start of the last good read of the nodes' topic.
+	nodes atomic.Int64
 }
 
 func newHealth(now time.Time) *health {
@@ -95,6 +99,12 @@
 	return true
 }
 
+// confirm notes a good read of the nodes' topic that was sent at the time.
+func (hea *health) confirm(sent time.Time) { hea.nodes.Store(int64(sent.Sub(hea.start))) }
+
+// confirmed returns when the last good read of the nodes' topic was sent.
+func (hea *health) confirmed() time.Time { return hea.start.Add(time.Duration(hea.nodes.Load())) }
+
 // age returns the time since the last answer, zero while none failed since.
 func (hea *health) age(now time.Time) time.Duration {
 	if !hea.down.Load() {
