Tell peers how far topics are read; let heads leave before they are joined elsewhere

Ruled out: the decoding, as the record at offset 3 is read whole later. Change: reports to peers carry the ends of the topics, a peer that is behind reads again; the operators' topic is asked each 1.2 s at the latest.

Head joined elsewhere while open (TWO): heads leave first.

--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -73,7 +73,7 @@
 	// the head can't be reached, joining the time since which members join
 	// that an earlier orderer told to.
 	closed, orphaned, joining time.Time
-	// left tells that the head was told to leave.
+	// left tells that the head has left by order.
 	left  bool
 	epoch int64
 }
@@ -129,6 +129,9 @@
 	if pnd == nil || pnd.ord.Kind != ord.Kind || pnd.ord.Epoch != ord.Epoch || pnd.ord.Group != ord.Group {
 		return
 	}
+	if trc := mac.traces[ord.Group]; trc != nil && ord.Kind == site.OrderLeave && res == site.OrderDone && trc.epoch == ord.Epoch {
+		trc.left = true
+	}
 	if res != site.OrderBegun && res != site.OrderUnknown {
 		// The state held before, or the order doesn't fit: in both cases the
 		// entry soon shows more.
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"kumquathinge/core/site"
 )
@@ -14,6 +15,9 @@
 		return
 	}
 	mems := sqd.survivors(stp)
+	if len(mems) == 0 || stp.present(sqd.group.Head()) {
+		trc.orphaned = time.Time{}
+	}
 	if len(mems) == 0 || sqd.model == nil {
 		// Nobody can be asked: all are lost, or leave, or have told no model.
 		stp.leave(sqd)
@@ -77,7 +81,7 @@
 		if trc.orphaned.IsZero() {
 			trc.orphaned = stp.inp.Now
 		}
-		if hea == nil && sqd.group.Members[0] == nil && trc.left || stp.inp.Now.Sub(trc.orphaned) > orphanBound {
+		if hea == nil && trc.left || stp.inp.Now.Sub(trc.orphaned) > orphanBound {
 			stp.release(mems)
 		}
 	}
@@ -87,15 +91,19 @@
 func (stp *step) leave(sqd *squad) {
 	hea := sqd.group.Head()
 	if stp.present(hea) {
-		if stp.send(hea, site.Order{Kind: site.OrderLeave, Group: sqd.name, Epoch: sqd.group.Epoch}) {
-			stp.mac.trace(sqd.name).left = true
-		}
+		stp.send(hea, site.Order{Kind: site.OrderLeave, Group: sqd.name, Epoch: sqd.group.Epoch})
 	}
 }
 
-// release lets servers join other groups.
+// release lets servers join other groups. One that may serve as a head is told
+// to leave its group first.
 func (stp *step) release(srvs []*site.Server) {
 	for _, srv := range srvs {
+		mem := srv.Group
+		if mem.Rank == 0 && (mem.State == site.GroupReady || mem.State == site.GroupOpen || mem.State == site.GroupClosing) {
+			stp.send(srv, site.Order{Kind: site.OrderLeave, Group: mem.Name, Epoch: mem.Epoch})
+			continue
+		}
 		delete(stp.held, srv.ID)
 	}
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,8 @@
 	// followPause follows a read that brought records, so that a burst of
 	// changes takes few calls.
 	followPause = 10 * time.Millisecond
+	// hintPause follows a read that was cut for newer records.
+	hintPause = 20 * time.Millisecond
 	// retryPause is the first pause after a failed call; it doubles up to
 	// retryPauseMax. The store takes 2,000 reads a second of all nodes.
 	retryPause    = 60 * time.Millisecond
@@ -41,12 +44,25 @@
 	log   *logrus.Logger
 	met   *meter
 	topic string
-	wait  func() time.Duration
+	wait  time.Duration
 	apply func(change)
 
 	known map[string]int64
-	next  int64
+	next  atomic.Int64
 	pause time.Duration
+	// poll ends the read in progress.
+	poll atomic.Pointer[context.CancelFunc]
+}
+
+// hint tells that the topic reaches to end by the word of a peer. A read that
+// is held back although there are newer records is made again.
+func (fol *follower) hint(end int64) {
+	if end <= fol.next.Load() {
+		return
+	}
+	if cut := fol.poll.Load(); cut != nil {
+		(*cut)()
+	}
 }
 
 // run follows until ctx ends.
@@ -70,7 +86,7 @@
 				fol.hea.confirm(sent)
 			}
 		case errors.Is(err, platform.ErrTrimmed):
-			fol.log.WithFields(logrus.Fields{"event": "store_gap", "topic": fol.topic, "from": fol.next}).Warn("records dropped before they were read; reading the newest ones")
+			fol.log.WithFields(logrus.Fields{"event": "store_gap", "topic": fol.topic, "from": fol.next.Load()}).Warn("records dropped before they were read; reading the newest ones")
 			fresh = true
 			fol.up()
 			sleep(ctx, retryPause)
@@ -111,16 +127,16 @@
 		seen[rec.Key] = true
 	}
 	chg := change{records: fol.newer(recs), end: end}
-	if end >= fol.next {
+	if end >= fol.next.Load() {
 		for key, off := range fol.known {
 			if !seen[key] && off < end {
 				chg.gone = append(chg.gone, key)
 				delete(fol.known, key)
 			}
 		}
-		fol.next = end
+		fol.next.Store(end)
 	}
-	chg.end = fol.next
+	chg.end = fol.next.Load()
 	fol.apply(chg)
 	return nil
 }
@@ -128,15 +144,26 @@
 // read reads on from the last offset.
 func (fol *follower) read(ctx context.Context) error {
 	fol.met.storeCalls.Inc()
-	recs, next, err := fol.sto.Follow(ctx, fol.topic, fol.next, fol.wait())
+	from := fol.next.Load()
+	pctx, cut := context.WithCancel(ctx)
+	defer cut()
+	fol.poll.Store(&cut)
+	recs, next, err := fol.sto.Follow(pctx, fol.topic, from, fol.wait)
+	fol.poll.Store(nil)
+	if err != nil && pctx.Err() != nil && ctx.Err() == nil {
+		fol.log.WithFields(logrus.Fields{"event": "store_hint", "topic": fol.topic, "from": from}).Info("a peer knows of newer records; reading again")
+		sleep(ctx, hintPause)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	fol.next = max(next, fol.next)
+	next = max(next, from)
+	fol.next.Store(next)
 	if len(recs) == 0 {
 		return nil
 	}
-	fol.apply(change{records: fol.newer(recs), end: fol.next})
+	fol.apply(change{records: fol.newer(recs), end: next})
 	sleep(ctx, followPause)
 	return nil
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -34,10 +34,16 @@
 	settingsPause = 2 * time.Second
 )
 
-// Waits of followers for the first record.
+// Waits of followers for the first record. They bound the time after which a
+// record is seen whose arrival the store did not tell of.
 const (
-	followWait = 6 * time.Second
-	// followWaitNodes is shorter: it also shows whether the store answers.
+	// followWait is for the operators' topic: a configuration is to be in
+	// force within 2 s.
+	followWait = 1200 * time.Millisecond
+	// followWaitServers is for the servers' topic.
+	followWaitServers = 2500 * time.Millisecond
+	// followWaitNodes is for the nodes' topic. Its reads also confirm the
+	// orderer.
 	followWaitNodes = time.Second
 )
 
@@ -107,12 +113,13 @@
 	cfr := &configurer{sta: nod.sta, log: nod.log, met: nod.met, changed: nod.reg.tableChanged}
 	follow := func(topic string, wait time.Duration, apply func(change)) {
 		nod.fol = append(nod.fol, &follower{
-			sto: sto, hea: hea, log: nod.log, met: nod.met, topic: topic, apply: apply, wait: func() time.Duration { return wait },
+			sto: sto, hea: hea, log: nod.log, met: nod.met, topic: topic, apply: apply, wait: wait,
 		})
 	}
 	follow(platform.TopicOperator, followWait, cfr.apply)
-	follow(platform.TopicServers, followWait, nod.reg.apply)
+	follow(platform.TopicServers, followWaitServers, nod.reg.apply)
 	follow(platform.TopicNodes, followWaitNodes, nod.enr.apply)
+	nod.prs.topics = nod.fol
 	return nod
 }
 
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,7 +36,7 @@
 	// firstPause is the wait before a claim, for the reports of the peers.
 	firstPause = 200 * time.Millisecond
 	// recheckPause is the pause between two probes of a lost server.
-	recheckPause = 700 * time.Millisecond
+	recheckPause = time.Second
 	// sleepBound is the pause between two looks that shows that the process
 	// stood still, so that another node may order by now.
 	sleepBound = 600 * time.Millisecond
@@ -259,7 +260,7 @@
 		}
 		mrk.asked = now
 		ord.lost[id] = mrk
-		go ord.probe(ctx, mrk.srv)
+		go ord.probeAll(ctx, []*site.Server{mrk.srv}, 1)
 	}
 }
 
@@ -281,27 +282,43 @@
 		}
 		ord.probed[hea.ID] = now
 		ord.log.WithFields(logrus.Fields{"event": "group_suspect", "group": grp.Name, "epoch": grp.Epoch, "head": hea.ID}).Warn("head of a group sends nothing; its members are probed")
-		for _, mem := range grp.Members {
-			if mem != nil {
-				go ord.probe(ctx, mem)
+		go ord.probeAll(ctx, grp.Members, 2)
+	}
+}
+
+// probeAll asks servers for their reports, up to so many times, and notes the
+// results together: what is lost shows only beside what is still there.
+func (ord *orderer) probeAll(ctx context.Context, srvs []*site.Server, tries int) {
+	errs := make([]error, len(srvs))
+	var wgr sync.WaitGroup
+	for idx, srv := range srvs {
+		if srv != nil {
+			wgr.Go(func() { errs[idx] = ord.probe(ctx, srv, tries) })
+		}
+	}
+	wgr.Wait()
+	ord.done <- func() {
+		for idx, srv := range srvs {
+			if srv != nil {
+				ord.probedOne(srv, errs[idx], time.Now())
 			}
 		}
 	}
 }
 
-// probe asks a server for its report, twice if it is silent.
-func (ord *orderer) probe(ctx context.Context, srv *site.Server) {
+// probe asks a server for its report, again if it is silent.
+func (ord *orderer) probe(ctx context.Context, srv *site.Server, tries int) error {
 	var err error
-	for range 2 {
+	for range tries {
 		ord.met.probes.Inc()
 		pctx, cancel := context.WithTimeout(ctx, probeBound)
 		_, err = ord.svs.Report(pctx, srv)
 		cancel()
 		if err == nil {
-			break
+			return nil
 		}
 	}
-	ord.done <- func() { ord.probedOne(srv, err, time.Now()) }
+	return err
 }
 
 // probedOne notes whether a server answered.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -37,6 +37,8 @@
 	Silent []string `cbor:"6,keyasint"`
 	// Stopping nodes do not become orderers.
 	Stopping bool `cbor:"7,keyasint"`
+	// Ends are the offsets to which the node has read the topics.
+	Ends []int64 `cbor:"8,keyasint"`
 }
 
 // heard is the last report of a peer.
@@ -55,6 +57,8 @@
 	self nodeRecord
 	con  *net.UDPConn
 	stop func() bool
+	// topics are the followers of the store's topics.
+	topics []*follower
 
 	mtx   sync.Mutex
 	nodes map[string]heard
@@ -125,6 +129,11 @@
 	if !known || now.Sub(old.at) >= liveBound || old.beat.Life != bea.Life {
 		prs.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": bea.Node, "life": bea.Life, "term": bea.Term}).Info("peer is heard")
 	}
+	for idx, end := range bea.Ends {
+		if idx < len(prs.topics) {
+			prs.topics[idx].hint(end)
+		}
+	}
 	prs.lod.with(func(boo *share.Book) { boo.Peer(bea.Node, bea.Running, now) })
 }
 
@@ -158,6 +167,9 @@
 		bea.Running = boo.Own()
 		bea.Silent = boo.Silent(silenceBound, now)
 	})
+	for _, fol := range prs.topics {
+		bea.Ends = append(bea.Ends, fol.next.Load())
+	}
 	raw, err := cbor.Marshal(bea)
 	if err != nil {
 		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("report can't be encoded")
