Give members whose entries went time to register again

Change: a group that misses only entries is left alone for 2.2 s, heads of earlier epochs leave first, an open head is used while nothing speaks against it.

--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -23,6 +23,10 @@
 	// can't be reached may serve in other groups: an entry lapses within 4 s
 	// and a head without its members breaks within 5 s.
 	orphanBound = 9 * time.Second
+	// rejoinGrace is the time within which a member whose entry went registers
+	// again if it lives: entries that lapsed while the store was away, or cut
+	// off, are back about 2 s after its return.
+	rejoinGrace = 2200 * time.Millisecond
 	// joinSlack is added to the time that a join may take.
 	joinSlack = 3 * time.Second
 	// epochsPerTerm is the number of epochs that one term can give out.
@@ -73,6 +77,8 @@
 	// the head can't be reached, joining the time since which members join
 	// that an earlier orderer told to.
 	closed, orphaned, joining time.Time
+	// missing is the time since which a member has no entry.
+	missing time.Time
 	// left tells that the head has left by order.
 	left  bool
 	epoch int64
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -15,6 +15,12 @@
 		return
 	}
 	mems := sqd.survivors(stp)
+	if stp.mayRejoin(sqd, trc) {
+		if sqd.model != nil {
+			stp.have[sqd.model.Name] += sqd.model.Size
+		}
+		return
+	}
 	if len(mems) == 0 || stp.present(sqd.group.Head()) {
 		trc.orphaned = time.Time{}
 	}
@@ -38,6 +44,44 @@
 	stp.dissolve(sqd, trc, mems)
 }
 
+// mayRejoin reports whether a group misses only entries of members that may
+// live and register again.
+func (stp *step) mayRejoin(sqd *squad, trc *trace) bool {
+	grp := sqd.group
+	if grp.Complete() {
+		trc.missing = time.Time{}
+		return false
+	}
+	if slices.ContainsFunc(grp.Members, func(mem *site.Server) bool { return mem != nil && !stp.usable(mem) }) {
+		return false
+	}
+	if hea := grp.Head(); trc.left || hea != nil && hea.Group.State != site.GroupOpen && hea.Group.State != site.GroupReady {
+		return false
+	}
+	if trc.missing.IsZero() {
+		trc.missing = stp.inp.Now
+	}
+	return stp.inp.Now.Sub(trc.missing) < rejoinGrace
+}
+
+// retireOlder tells heads of earlier epochs of a name to leave, which may
+// still serve, and keeps them from other groups until then.
+func (stp *step) retireOlder(sqd *squad) {
+	for _, srv := range sqd.older {
+		if mayServe(srv) && stp.present(srv) && !stp.held[srv.ID] {
+			stp.hold(srv)
+			stp.send(srv, site.Order{Kind: site.OrderLeave, Group: srv.Group.Name, Epoch: srv.Group.Epoch})
+		}
+	}
+}
+
+// mayServe reports whether a server may serve as the head of its group by now:
+// its entry may be older than an order to open.
+func mayServe(srv *site.Server) bool {
+	sta := srv.Group.State
+	return srv.Group.Rank == 0 && (sta == site.GroupReady || sta == site.GroupOpen || sta == site.GroupClosing)
+}
+
 // working reports whether no member is missing and the head may serve.
 func (stp *step) working(sqd *squad) bool {
 	grp := sqd.group
@@ -99,9 +143,8 @@
 // to leave its group first.
 func (stp *step) release(srvs []*site.Server) {
 	for _, srv := range srvs {
-		mem := srv.Group
-		if mem.Rank == 0 && (mem.State == site.GroupReady || mem.State == site.GroupOpen || mem.State == site.GroupClosing) {
-			stp.send(srv, site.Order{Kind: site.OrderLeave, Group: mem.Name, Epoch: mem.Epoch})
+		if mayServe(srv) {
+			stp.send(srv, site.Order{Kind: site.OrderLeave, Group: srv.Group.Name, Epoch: srv.Group.Epoch})
 			continue
 		}
 		delete(stp.held, srv.ID)
--- a/core/place/step.go
+++ b/core/place/step.go
@@ -40,6 +40,9 @@
 	for _, sqd := range broken {
 		stp.repair(sqd)
 	}
+	for _, sqd := range squads {
+		stp.retireOlder(sqd)
+	}
 	stp.form()
 	stp.stageSpares()
 	return stp.orders
--- a/core/share/book.go
+++ b/core/share/book.go
@@ -13,6 +13,9 @@
 	// failPause is the first time for which a server that failed gets no
 	// requests while others have room. It doubles with each failure in a row.
 	failPause = 500 * time.Millisecond
+	// silentBound is the time after which a server that runs requests and
+	// sends nothing is used only if all others are full.
+	silentBound = 300 * time.Millisecond
 	// failPauseMax bounds the pause.
 	failPauseMax = 4 * time.Second
 )
@@ -173,7 +176,7 @@
 		if srv.Zone != boo.zone {
 			cost += otherZone
 		}
-		if ent := boo.entries[srv.ID]; ent != nil && now.Before(ent.avoid) {
+		if ent := boo.entries[srv.ID]; ent != nil && (now.Before(ent.avoid) || ent.running > 0 && now.Sub(ent.progress) > silentBound) {
 			cost += avoided
 		}
 		if best.Server == nil || cost < bestCost {
--- a/core/site/view.go
+++ b/core/site/view.go
@@ -27,11 +27,12 @@
 	return grp.Size > 0 && len(grp.Members) == grp.Size && !slices.Contains(grp.Members, nil)
 }
 
-// Serving reports whether requests may go to the head: it is open, no member
-// is missing and the head stays.
+// Serving reports whether requests may go to the head: it is open and stays. A
+// member whose entry is missing may live on; if it doesn't, the head falls
+// silent or the orderer ends the group.
 func (grp *Group) Serving() bool {
 	hea := grp.Head()
-	return hea != nil && hea.Group.State == GroupOpen && !hea.Draining && grp.Complete()
+	return hea != nil && hea.Group.State == GroupOpen && !hea.Draining
 }
 
 // View is the state of all backend servers at one moment. It is immutable.
