Form groups that need no loads first; count waiting prompts as load

Cause: after a domain's outage its 11 servers came back one by one and the first nine were taken as groups of whatever lay on their hosts, so two groups loaded for 12 to 16 s while servers with the model on their host registered a second later. Ruled out: the load limit (13 of 27 loads).

--- a/core/place/form.go
+++ b/core/place/form.go
@@ -42,40 +42,78 @@
 }
 
 // next returns the model of the next group and its domain, nil if none fits.
+// Groups that need no loads go first.
 func (stp *step) next(names []string, free map[string][]*site.Server) (*site.Model, string) {
-	ratio := func(mod *site.Model) float64 { return float64(stp.have[mod.Name]) / max(mod.Share, minShare) }
-	low := math.Inf(1)
-	for idx := range stp.svc.Engine.Models {
-		low = min(low, ratio(&stp.svc.Engine.Models[idx]))
-	}
-	var best *site.Model
-	where, cost := "", math.Inf(1)
+	var best candidate
 	for idx := range stp.svc.Engine.Models {
 		mod := &stp.svc.Engine.Models[idx]
-		if best != nil && ratio(mod) >= ratio(best) || ratio(mod) > low*surplus {
+		if stp.ratio(mod) > stp.lowest()*surplus {
 			continue
 		}
 		for _, nam := range names {
 			if len(free[nam]) < mod.Size {
 				continue
 			}
-			if val := stp.loadsFor(mod, free[nam]); best != mod || val < cost {
-				best, where, cost = mod, nam, val
+			cnd := candidate{model: mod, domain: nam, loads: stp.loadsFor(mod, free[nam]), ratio: stp.ratio(mod)}
+			if cnd.loads > 0 && !stp.settled(free[nam]) {
+				continue
+			}
+			if best.model == nil || cnd.before(best) {
+				best = cnd
 			}
 		}
 	}
-	return best, where
+	return best.model, best.domain
+}
+
+// candidate is a group that could be formed.
+type candidate struct {
+	model  *site.Model
+	domain string
+	loads  int
+	ratio  float64
+}
+
+func (cnd candidate) before(oth candidate) bool {
+	if (cnd.loads == 0) != (oth.loads == 0) {
+		return cnd.loads == 0
+	}
+	return cmp.Or(cmp.Compare(cnd.ratio, oth.ratio), cmp.Compare(cnd.loads, oth.loads)) < 0
+}
+
+// ratio returns the servers of a model for its share of the work.
+func (stp *step) ratio(mod *site.Model) float64 {
+	return float64(stp.have[mod.Name]) / max(mod.Share, minShare)
+}
+
+// lowest returns the ratio of the model that has the fewest servers.
+func (stp *step) lowest() float64 {
+	low := math.Inf(1)
+	for idx := range stp.svc.Engine.Models {
+		low = min(low, stp.ratio(&stp.svc.Engine.Models[idx]))
+	}
+	return low
+}
+
+// settled reports whether none of the servers has come just now.
+func (stp *step) settled(srvs []*site.Server) bool {
+	if stp.inp.Calm {
+		return true
+	}
+	return !slices.ContainsFunc(srvs, func(srv *site.Server) bool {
+		return stp.inp.Now.Sub(stp.mac.pasts[srv.ID].seen) < settleTime
+	})
 }
 
 // loadsFor returns the number of loads that a group of the model needs.
-func (stp *step) loadsFor(mod *site.Model, srvs []*site.Server) float64 {
+func (stp *step) loadsFor(mod *site.Model, srvs []*site.Server) int {
 	num := 0
 	for _, srv := range srvs {
 		if stp.rank(mod, srv) < rankLoad {
 			num++
 		}
 	}
-	return float64(max(0, mod.Size-num))
+	return max(0, mod.Size-num)
 }
 
 // stageSpares loads models onto the hosts of servers that no group needs, so
--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -27,6 +27,10 @@
 	// again if it lives: entries that lapsed while the store was away, or cut
 	// off, are back about 2 s after its return.
 	rejoinGrace = 2200 * time.Millisecond
+	// settleTime is the time for which a domain waits for further servers
+	// before loads are begun for a new group: those that come back together
+	// register within about a second, with models on their hosts.
+	settleTime = 1500 * time.Millisecond
 	// joinSlack is added to the time that a join may take.
 	joinSlack = 3 * time.Second
 	// epochsPerTerm is the number of epochs that one term can give out.
@@ -63,6 +67,8 @@
 // past is what is remembered of one life of a server.
 type past struct {
 	born int64
+	// seen is the time of the first look at this life.
+	seen time.Time
 	// model is the model of the last group.
 	model string
 	// staging is the model that is being loaded onto the host, until the time.
@@ -178,7 +184,7 @@
 	for id, srv := range inp.View.Servers() {
 		pst := mac.pasts[id]
 		if pst == nil || pst.born != srv.Born {
-			pst = &past{born: srv.Born}
+			pst = &past{born: srv.Born, seen: inp.Now}
 			mac.pasts[id] = pst
 		}
 		if srv.Model != "" {
--- a/core/share/book.go
+++ b/core/share/book.go
@@ -23,9 +23,8 @@
 // entry is what runs at one server from this node, and how it went.
 type entry struct {
 	running int
-	// waiting counts the requests that got nothing yet.
+	// waiting is the number of prompt tokens of requests that have not begun.
 	waiting  int
-	oldest   time.Time
 	progress time.Time
 	fails    int
 	avoid    time.Time
@@ -34,7 +33,15 @@
 // peer is what another node runs.
 type peer struct {
 	at     time.Time
-	counts map[string]int
+	counts map[string]Count
+}
+
+// Count is what one node has at a server.
+type Count struct {
+	// Running is the number of requests, Waiting that of the prompt tokens of
+	// those that have not begun.
+	Running int `cbor:"1,keyasint"`
+	Waiting int `cbor:"2,keyasint"`
 }
 
 // Book counts the requests at the backend servers.
@@ -60,17 +67,26 @@
 }
 
 // Begin counts a request that is sent to the server.
-func (boo *Book) Begin(id string, now time.Time) {
+func (boo *Book) Begin(id string, prompt int, now time.Time) {
 	ent := boo.entry(id)
 	if ent.running == 0 {
 		ent.progress = now
 	}
 	ent.running++
+	ent.waiting += prompt
+}
+
+// Started notes that the server runs a request of so many prompt tokens.
+func (boo *Book) Started(id string, prompt int) {
+	ent := boo.entry(id)
+	ent.waiting -= prompt
 }
 
-// End counts the end of a request.
-func (boo *Book) End(id string) {
+// End counts the end of a request; waiting are its prompt tokens if it has not
+// begun.
+func (boo *Book) End(id string, waiting int) {
 	ent := boo.entry(id)
+	ent.waiting -= waiting
 	ent.running--
 	if ent.running <= 0 && ent.fails == 0 {
 		delete(boo.entries, id)
@@ -94,37 +110,37 @@
 }
 
 // Peer replaces the counts of another node.
-func (boo *Book) Peer(node string, counts map[string]int, now time.Time) {
+func (boo *Book) Peer(node string, counts map[string]Count, now time.Time) {
 	boo.peers[node] = peer{at: now, counts: counts}
 }
 
 // Forget drops the counts of another node.
 func (boo *Book) Forget(node string) { delete(boo.peers, node) }
 
-// Own returns the number of this node's requests by server.
-func (boo *Book) Own() map[string]int {
-	out := make(map[string]int, len(boo.entries))
+// Own returns what this node has at servers.
+func (boo *Book) Own() map[string]Count {
+	out := make(map[string]Count, len(boo.entries))
 	for id, ent := range boo.entries {
 		if ent.running > 0 {
-			out[id] = ent.running
+			out[id] = Count{Running: ent.running, Waiting: ent.waiting}
 		}
 	}
 	return out
 }
 
-// Load returns the number of requests at the server, over all nodes that
-// were heard lately.
-func (boo *Book) Load(id string, now time.Time) int {
-	num := 0
+// Load returns what all nodes that were heard lately have at the server.
+func (boo *Book) Load(id string, now time.Time) Count {
+	var sum Count
 	if ent := boo.entries[id]; ent != nil {
-		num = ent.running
+		sum = Count{Running: ent.running, Waiting: ent.waiting}
 	}
 	for _, per := range boo.peers {
 		if now.Sub(per.at) < peerBound {
-			num += per.counts[id]
+			sum.Running += per.counts[id].Running
+			sum.Waiting += per.counts[id].Waiting
 		}
 	}
-	return num
+	return sum
 }
 
 // Silent returns the servers that run requests of this node and have sent
@@ -152,7 +168,7 @@
 // Choice is a server for a request, and how loaded it is.
 type Choice struct {
 	Server *site.Server
-	Load   int
+	Load   Count
 }
 
 // Choose returns the least loaded of the servers, with room for one more
@@ -169,10 +185,10 @@
 		}
 		lod := boo.Load(srv.ID, now)
 		lim := limit(srv)
-		if lod >= lim {
+		if lod.Running >= lim {
 			continue
 		}
-		cost := float64(lod) / float64(lim)
+		cost := float64(lod.Running)/float64(lim) + float64(lod.Waiting)/waitingTokens
 		if srv.Zone != boo.zone {
 			cost += otherZone
 		}
@@ -190,6 +206,9 @@
 const (
 	// otherZone is what the way to another zone counts for.
 	otherZone = 0.04
+	// waitingTokens is the number of waiting prompt tokens that count as much
+	// as a whole batch: reading them takes about as long as a first event may.
+	waitingTokens = 12000.0
 	// avoided puts a server that failed behind each that didn't.
 	avoided = 10.0
 )
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,6 +39,16 @@
 	fwd  *forwarder
 	cal  *call
 	shut bool
+	// begun tells that the server has begun to run the request.
+	begun bool
+}
+
+// started notes that the server runs the request.
+func (leg *leg) started() {
+	if !leg.begun {
+		leg.begun = true
+		leg.fwd.lod.with(func(boo *share.Book) { boo.Started(leg.srv.ID, leg.cal.prompt) })
+	}
 }
 
 // close ends the attempt. The connection is kept if the response was read to
@@ -51,7 +61,11 @@
 	_ = leg.body.Close()
 	leg.done(nil)
 	leg.cal.stop.Store(nil)
-	leg.fwd.end(leg.srv.ID)
+	waiting := leg.cal.prompt
+	if leg.begun {
+		waiting = 0
+	}
+	leg.fwd.end(leg.srv.ID, waiting)
 }
 
 // forwarder sends requests to backend servers.
@@ -63,11 +77,15 @@
 	lod *loads
 }
 
-// begin and end count a request at a server.
-func (fwd *forwarder) begin(id string, now time.Time) {
-	fwd.lod.with(func(boo *share.Book) { boo.Begin(id, now) })
+// begin and end count a request at a server, with its prompt tokens while it
+// waits there.
+func (fwd *forwarder) begin(id string, prompt int, now time.Time) {
+	fwd.lod.with(func(boo *share.Book) { boo.Begin(id, prompt, now) })
+}
+
+func (fwd *forwarder) end(id string, waiting int) {
+	fwd.lod.with(func(boo *share.Book) { boo.End(id, waiting) })
 }
-func (fwd *forwarder) end(id string) { fwd.lod.with(func(boo *share.Book) { boo.End(id) }) }
 
 // advanced notes that the server of a call sent something.
 func (fwd *forwarder) advanced(cal *call, id string) {
@@ -159,7 +177,7 @@
 	cal.server.Store(srv)
 	cal.touch(now)
 	cal.stop.Store(&done)
-	fwd.begin(srv.ID, now)
+	fwd.begin(srv.ID, cal.prompt, now)
 	bod, err := fwd.poo.Get(srv.Addr).Open(ctx, wire.Exchange{
 		Req: req, Silence: left + deadlineSlack, CloseEnds: true, EchoHeader: platform.HeaderAttempt, EchoValue: cal.id,
 	})
@@ -169,7 +187,7 @@
 		}
 		done(nil)
 		cal.stop.Store(nil)
-		fwd.end(srv.ID)
+		fwd.end(srv.ID, cal.prompt)
 		return fwd.failed(cal, srv, err), nil, err
 	}
 	led := &leg{srv: srv, body: bod, done: done, fwd: fwd, cal: cal}
--- a/entry/call.go
+++ b/entry/call.go
@@ -33,6 +33,11 @@
 	// those that refused.
 	sent  atomic.Int32
 	tried []string
+	// prompt is the number of prompt tokens.
+	prompt int
+	// first is the time to the first event, gap the longest pause after it.
+	first, gap time.Duration
+	lastAt     time.Time
 	// lastEvent is the ID of the last event that went to the caller.
 	lastEvent string
 
@@ -46,6 +51,16 @@
 // touch notes that the server sent something.
 func (cal *call) touch(now time.Time) { cal.progress.Store(int64(now.Sub(cal.begin))) }
 
+// noteEvent notes the time of an event.
+func (cal *call) noteEvent(now time.Time) {
+	if cal.lastAt.IsZero() {
+		cal.first = now.Sub(cal.begin)
+	} else {
+		cal.gap = max(cal.gap, now.Sub(cal.lastAt))
+	}
+	cal.lastAt = now
+}
+
 // silent returns the time since the server sent something or got the request.
 func (cal *call) silent(now time.Time) time.Duration {
 	return now.Sub(cal.begin) - time.Duration(cal.progress.Load())
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -106,7 +106,7 @@
 	if fwd.log.IsLevelEnabled(logrus.InfoLevel) {
 		fwd.log.WithFields(logrus.Fields{
 			"event": "attempt", "request": cal.id, "server": cho.Server.ID, "group": cho.Server.Group.Name, "epoch": cho.Server.Group.Epoch,
-			"load": cho.Load, "of": len(srvs), "left": cal.left(now), "after_event": cal.lastEvent,
+			"load": cho.Load.Running, "waiting_tokens": cho.Load.Waiting, "of": len(srvs), "left": cal.left(now), "after_event": cal.lastEvent,
 		}).Info("request sent to a server")
 	}
 	return cho.Server, nil
--- a/entry/front.go
+++ b/entry/front.go
@@ -137,6 +137,7 @@
 		return cal, core.Errorf(core.CodeNotReady, "route %s names no service", cal.route.Name)
 	}
 	cal.model = string(hdr.Peek(platform.HeaderModel))
+	cal.prompt = promptTokens(string(hdr.Peek(platform.HeaderTokens)))
 	cal.lastEvent = string(hdr.Peek(platform.HeaderLastEvent))
 	cal.deadline = now.Add(patience(cal.route, hdr.Peek(platform.HeaderDeadline)))
 	ctx, cancel := context.WithDeadlineCause(context.Background(), cal.deadline, errDeadline)
@@ -146,6 +147,17 @@
 	return cal, nil
 }
 
+// promptTokens returns the first of two comma-separated counts, zero if there
+// is none.
+func promptTokens(val string) int {
+	one, _, _ := strings.Cut(val, ",")
+	num, err := strconv.Atoi(strings.TrimSpace(one))
+	if err != nil || num < 0 {
+		return 0
+	}
+	return num
+}
+
 // withCause returns a context below ctx whose cancel function takes a cause
 // and also releases ctx.
 func withCause(ctx context.Context, release context.CancelFunc) (context.Context, context.CancelCauseFunc) {
@@ -326,7 +338,7 @@
 	ent := fro.log.WithFields(logrus.Fields{
 		"event": "request", "request": cal.id, "route": cal.route.Name, "kind": cal.route.Kind, "service": cal.svc.Name, "model": cal.model,
 		"organisation": cal.org, "status": status, "code": core.CodeOf(err), "took": took, "sent": cal.sent.Load(), "tried": len(cal.tried),
-		"events": events, "last_event": cal.lastEvent, "version": fro.version(),
+		"first": cal.first, "gap": cal.gap, "events": events, "last_event": cal.lastEvent, "version": fro.version(),
 	})
 	if err != nil {
 		ent = ent.WithField("error", err)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -31,8 +31,8 @@
 	// StoreAge is the time since the store last answered the node, zero while
 	// it answers.
 	StoreAge time.Duration `cbor:"4,keyasint"`
-	// Running is the number of requests by server.
-	Running map[string]int `cbor:"5,keyasint"`
+	// Running is what the node has at servers.
+	Running map[string]share.Count `cbor:"5,keyasint"`
 	// Silent are the servers that send nothing for the node's requests.
 	Silent []string `cbor:"6,keyasint"`
 	// Stopping nodes do not become orderers.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -127,6 +128,8 @@
 	if pos < 0 {
 		return
 	}
+	rel.cal.noteEvent(time.Now())
+	rel.leg.started()
 	old := rel.whole
 	rel.whole = from + pos + len(eventEnd)
 	rel.events += bytes.Count(rel.buf[old:rel.whole], eventEnd)
