Place spares and groups by the load of the models

Cause: with all six groups the large model answers its first event in 216 ms at the median, with four in 511 ms, while the small model has a spare third of its capacity; spares were divided evenly.

--- a/core/place/form.go
+++ b/core/place/form.go
@@ -13,8 +13,17 @@
 	// none, so that it gets a group where servers are left.
 	minShare = 0.01
 	// surplus is the factor by which a model may have more servers for its
-	// share than the model that has the fewest.
+	// share than the model that has the fewest, before loads are known.
 	surplus = 1.15
+	// minLoad stands for the load of a model that has none, so that it keeps
+	// some weight.
+	minLoad = 0.05
+	// reserve is the number of servers of a domain that are kept for losses of
+	// its group of the model that is loaded most.
+	reserve = 2
+	// restageGain is how many times the worth of a spare must grow for another
+	// model to be loaded onto its host.
+	restageGain = 2.5
 	// stagingFactor is how many times its usual time a load may take when
 	// others load at the same time.
 	stagingFactor = 2
@@ -32,7 +41,7 @@
 		if mod == nil {
 			return
 		}
-		mems := stp.fastest(mod, free[where])[:mod.Size]
+		mems := stp.fastest(mod, stp.available(mod, where, free[where]))[:mod.Size]
 		if !stp.load(mod, mems) {
 			return
 		}
@@ -47,15 +56,16 @@
 	var best candidate
 	for idx := range stp.svc.Engine.Models {
 		mod := &stp.svc.Engine.Models[idx]
-		if stp.ratio(mod) > stp.lowest()*surplus {
+		if stp.inp.Load == nil && stp.ratio(mod) > stp.lowest()*surplus {
 			continue
 		}
 		for _, nam := range names {
-			if len(free[nam]) < mod.Size {
+			srvs := stp.available(mod, nam, free[nam])
+			if len(srvs) < mod.Size {
 				continue
 			}
-			cnd := candidate{model: mod, domain: nam, loads: stp.loadsFor(mod, free[nam]), ratio: stp.ratio(mod)}
-			if cnd.loads > 0 && !stp.settled(free[nam]) {
+			cnd := candidate{model: mod, domain: nam, loads: stp.loadsFor(mod, srvs), ratio: stp.ratio(mod)}
+			if cnd.loads > 0 && !stp.settled(srvs) {
 				continue
 			}
 			if best.model == nil || cnd.before(best) {
@@ -81,9 +91,10 @@
 	return cmp.Or(cmp.Compare(cnd.ratio, oth.ratio), cmp.Compare(cnd.loads, oth.loads)) < 0
 }
 
-// ratio returns the servers of a model for its share of the work.
+// ratio returns the servers of a model for its part of the work. The lowest
+// model gets the next group.
 func (stp *step) ratio(mod *site.Model) float64 {
-	return float64(stp.have[mod.Name]) / max(mod.Share, minShare)
+	return float64(stp.have[mod.Name]) / max(stp.demand(mod), minShare)
 }
 
 // lowest returns the ratio of the model that has the fewest servers.
@@ -95,6 +106,54 @@
 	return low
 }
 
+// demand returns the work of a model in servers: those that its load keeps
+// busy, or its share while no load is known.
+func (stp *step) demand(mod *site.Model) float64 {
+	if stp.inp.Load == nil {
+		return mod.Share
+	}
+	return max(stp.inp.Load[mod.Name], minLoad) * float64(stp.have[mod.Name])
+}
+
+// scarcest returns the model whose groups are loaded most, nil if unknown.
+func (stp *step) scarcest() *site.Model {
+	if stp.inp.Load == nil {
+		return nil
+	}
+	mod := slices.MaxFunc(stp.svc.Engine.Models, func(one, two site.Model) int {
+		return cmp.Compare(stp.inp.Load[one.Name], stp.inp.Load[two.Name])
+	})
+	return &mod
+}
+
+// available returns the servers of a domain that a new group of the model may
+// take: a few that hold the scarcest model stay as its spares.
+func (stp *step) available(mod *site.Model, domain string, srvs []*site.Server) []*site.Server {
+	top := stp.scarcest()
+	if top == nil || top.Name == mod.Name || !stp.serves(top, domain) {
+		return srvs
+	}
+	kept := 0
+	return slices.DeleteFunc(slices.Clone(srvs), func(srv *site.Server) bool {
+		if kept == reserve || stp.rank(top, srv) == rankLoad {
+			return false
+		}
+		kept++
+		return true
+	})
+}
+
+// serves reports whether a group of the model stands or is formed in a domain.
+func (stp *step) serves(mod *site.Model, domain string) bool {
+	for id := range stp.held {
+		srv := stp.inp.View.Server(id)
+		if pst := stp.mac.pasts[id]; srv != nil && srv.Domain == domain && pst != nil && (srv.Model == mod.Name || pst.model == mod.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // settled reports whether none of the servers has come just now.
 func (stp *step) settled(srvs []*site.Server) bool {
 	if stp.inp.Calm {
@@ -120,32 +179,73 @@
 // that they can stand in for a lost member.
 func (stp *step) stageSpares() {
 	for _, dom := range stp.domains() {
-		var empty []*site.Server
+		var empty, other []*site.Server
 		staged := map[string]int{}
 		for _, srv := range stp.free(dom) {
 			pst := stp.mac.pasts[srv.ID]
 			switch {
-			case pst != nil && pst.staging != "":
+			case pst.staging != "":
 				staged[pst.staging]++
 			case len(srv.Staged) == 0:
 				empty = append(empty, srv)
 			default:
-				staged[srv.Staged[len(srv.Staged)-1]]++
+				staged[onHost(srv)]++
+				other = append(other, srv)
 			}
 		}
 		for _, srv := range empty {
-			stp.stage(srv, staged)
+			mod := stp.wanted(dom, staged)
+			stp.stage(srv, mod, staged)
 		}
+		stp.restage(dom, other, staged)
+	}
+}
+
+// onHost returns the model that was loaded last onto the server's host.
+func onHost(srv *site.Server) string { return srv.Staged[len(srv.Staged)-1] }
+
+// spareWorth is what one more spare of the model is worth in a domain: losses
+// come by members, and a loss hurts by the square of the load.
+func (stp *step) spareWorth(mod *site.Model, domain string, staged int) float64 {
+	lod := 1.0
+	if stp.inp.Load != nil {
+		lod = max(stp.inp.Load[mod.Name], minLoad)
+	}
+	wth := float64(mod.Size) * lod * lod / float64(1+staged)
+	if !stp.serves(mod, domain) {
+		wth /= 2
 	}
+	return wth
 }
 
-// stage loads the model of which the domain has the fewest spares, the larger
-// one first.
-func (stp *step) stage(srv *site.Server, staged map[string]int) {
-	mod := slices.MinFunc(stp.svc.Engine.Models, func(one, two site.Model) int {
-		return cmp.Or(cmp.Compare(staged[one.Name], staged[two.Name]), cmp.Compare(two.Size, one.Size))
+// wanted returns the model of which the domain needs a spare most.
+func (stp *step) wanted(domain string, staged map[string]int) *site.Model {
+	mod := slices.MaxFunc(stp.svc.Engine.Models, func(one, two site.Model) int {
+		return cmp.Compare(stp.spareWorth(&one, domain, staged[one.Name]), stp.spareWorth(&two, domain, staged[two.Name]))
 	})
-	if !stp.load(&mod, []*site.Server{srv}) {
+	return &mod
+}
+
+// restage replaces the model on one spare's host if another is worth far more.
+func (stp *step) restage(domain string, srvs []*site.Server, staged map[string]int) {
+	mod := stp.wanted(domain, staged)
+	for _, srv := range srvs {
+		old := onHost(srv)
+		idx := slices.IndexFunc(stp.svc.Engine.Models, func(one site.Model) bool { return one.Name == old })
+		if idx < 0 || old == mod.Name {
+			continue
+		}
+		worth := stp.spareWorth(&stp.svc.Engine.Models[idx], domain, staged[old]-1)
+		if stp.spareWorth(mod, domain, staged[mod.Name]) > restageGain*worth {
+			stp.stage(srv, mod, staged)
+			return
+		}
+	}
+}
+
+// stage loads a model onto a spare's host.
+func (stp *step) stage(srv *site.Server, mod *site.Model, staged map[string]int) {
+	if !stp.load(mod, []*site.Server{srv}) {
 		return
 	}
 	if stp.send(srv, site.Order{Kind: site.OrderStage, Model: mod.Name}) {
--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -45,6 +45,9 @@
 	Table *site.Table
 	// Lost reports whether a server that still has an entry doesn't answer.
 	Lost func(id string) bool
+	// Load is the mean part of the batch that is in use at the groups of a
+	// model, by its name. It is nil until requests have been counted.
+	Load map[string]float64
 	// Calm tells that traffic has not started, so that loads are cheap.
 	Calm bool
 }
--- a/core/place/step.go
+++ b/core/place/step.go
@@ -109,7 +109,7 @@
 func (stp *step) rank(mod *site.Model, srv *site.Server) int {
 	pst := stp.mac.pasts[srv.ID]
 	switch {
-	case pst != nil && pst.model == mod.Name:
+	case pst != nil && pst.model == mod.Name && srv.Has(mod.Name):
 		return rankSame
 	case srv.Has(mod.Name):
 		return rankStaged
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -151,6 +151,18 @@
 	return cause
 }
 
+// another reports whether a request that a server answered with a failure is
+// sent to one more server, and counts that.
+func (fwd *forwarder) another(cal *call, srv *site.Server) bool {
+	if cal.route.Kind != site.KindIdempotent || int(cal.sent.Load())+1 >= cal.attempts() || !fwd.lod.repeat(cal.svc.Name, time.Now()) {
+		return false
+	}
+	cal.sent.Add(1)
+	cal.tried = append(cal.tried, srv.ID)
+	fwd.log.WithFields(logrus.Fields{"event": "attempt_failed", "request": cal.id, "server": srv.ID, "outcome": outcomeAnswered, "again": true}).Info("server answered with a failure; another one is asked")
+	return true
+}
+
 // refusal is an error of a request that surely did not run.
 type refusal struct {
 	cause error
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -64,17 +64,28 @@
 	lod.nodes = num
 }
 
-// queueShare is the part of a server's capacity that may wait at it beyond
-// what runs. A request that waits behind few others still starts in time.
-const queueShare = 0.15
+const (
+	// queueShare is the part of a server's capacity that may wait at it beyond
+	// what runs. A request that waits behind few others still starts in time.
+	queueShare = 0.15
+	// resumeShare is that part for a request that has run already: to end a
+	// stream late is better than to break it off. Servers queue twice their
+	// capacity.
+	resumeShare = 1.0
+)
 
-// capacity returns the number of requests that a server is given at a time.
-func capacity(svc *site.Service, srv *site.Server) int {
+// capacity returns the number of requests that a server is given at a time
+// before this one.
+func (cal *call) capacity(srv *site.Server) int {
 	slots := srv.Slots
-	if svc.Engine != nil && svc.Engine.Slots > 0 {
-		slots = svc.Engine.Slots
+	if cal.svc.Engine != nil && cal.svc.Engine.Slots > 0 {
+		slots = cal.svc.Engine.Slots
+	}
+	part := queueShare
+	if cal.sent.Load() > 0 {
+		part = resumeShare
 	}
-	return slots + int(queueShare*float64(slots))
+	return slots + int(part*float64(slots))
 }
 
 // candidates returns the servers that the request may go to.
@@ -93,9 +104,8 @@
 		return nil, fwd.refuse(cal, core.Errorf(core.CodeDeadline, "the deadline passed"))
 	}
 	srvs := fwd.candidates(cal)
-	limit := func(srv *site.Server) int { return capacity(cal.svc, srv) }
 	var cho share.Choice
-	fwd.lod.with(func(boo *share.Book) { cho = boo.Choose(srvs, limit, cal.tried, now) })
+	fwd.lod.with(func(boo *share.Book) { cho = boo.Choose(srvs, cal.capacity, cal.tried, now) })
 	if cho.Server == nil {
 		code := core.CodeQueueFull
 		if len(srvs) == 0 {
--- a/entry/front.go
+++ b/entry/front.go
@@ -209,6 +209,15 @@
 func (fro *front) whole(rqc *fasthttp.RequestCtx, cal *call, led *leg) {
 	for {
 		ans, err := led.body.Whole(maxAnswer)
+		if err == nil && ans.Status() >= fasthttp.StatusInternalServerError && fro.fwd.another(cal, led.srv) {
+			led.close()
+			nxt, oerr := fro.fwd.open(cal)
+			if oerr == nil {
+				led = nxt
+				continue
+			}
+			fro.log.WithFields(logrus.Fields{"event": "second_failed", "request": cal.id, "error": oerr}).Info("no second answer; the server's failure is delivered")
+		}
 		if err == nil {
 			fro.head(rqc, led)
 			rqc.SetBody(ans.Body())
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -66,6 +66,9 @@
 	waiting time.Time
 	last    time.Time
 	done    chan func()
+	// load is the mean load of models, measured is when it was looked at.
+	load     map[string]float64
+	measured time.Time
 }
 
 // lostMark is a server that didn't answer, and when it was asked last.
@@ -215,7 +218,7 @@
 func (ord *orderer) order(ctx context.Context, now time.Time) {
 	tab := ord.sta.table.Load()
 	ords := ord.mac.Step(place.Input{
-		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: func(id string) bool { return ord.isLost(id) }, Calm: ord.busy() == 0,
+		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: ord.isLost, Load: ord.measure(now), Calm: ord.busy() == 0,
 	})
 	mac := ord.mac
 	for _, one := range ords {
@@ -238,6 +241,48 @@
 	return res, err
 }
 
+// loadTime is the time over which the load of models is averaged.
+const loadTime = 3 * time.Second
+
+// measure returns the mean part of the batches in use by model, nil while no
+// requests have come.
+func (ord *orderer) measure(now time.Time) map[string]float64 {
+	if ord.busy() == 0 {
+		return nil
+	}
+	part := min(1, float64(now.Sub(ord.measured))/float64(loadTime))
+	ord.measured = now
+	if ord.load == nil {
+		ord.load = map[string]float64{}
+		part = 1
+	}
+	tab, vie := ord.sta.table.Load(), ord.sta.view.Load()
+	for _, svc := range tab.Config().Services {
+		if svc.Engine == nil {
+			continue
+		}
+		for _, mod := range svc.Engine.Models {
+			ord.load[mod.Name] += part * (ord.used(&svc, vie.Heads(svc.Name, mod.Name), now) - ord.load[mod.Name])
+		}
+	}
+	return ord.load
+}
+
+// used returns the mean part of the batch that is in use at the heads, or 1 if
+// there are none.
+func (ord *orderer) used(svc *site.Service, heads []*site.Server, now time.Time) float64 {
+	if len(heads) == 0 {
+		return 1
+	}
+	sum := 0.0
+	ord.lod.with(func(boo *share.Book) {
+		for _, hea := range heads {
+			sum += float64(boo.Load(hea.ID, now).Running) / float64(max(1, svc.Engine.Slots))
+		}
+	})
+	return sum / float64(len(heads))
+}
+
 // isLost reports whether a server didn't answer and has said nothing since.
 func (ord *orderer) isLost(id string) bool {
 	mrk, ok := ord.lost[id]
--- a/entry/sweep.go
+++ b/entry/sweep.go
@@ -120,8 +120,7 @@
 // elsewhere reports whether another server has room for the call.
 func (swe *sweeper) elsewhere(cal *call, srv *site.Server, now time.Time) bool {
 	srvs := swe.fwd.candidates(cal)
-	limit := func(srv *site.Server) int { return capacity(cal.svc, srv) }
 	var cho share.Choice
-	swe.fwd.lod.with(func(boo *share.Book) { cho = boo.Choose(srvs, limit, []string{srv.ID}, now) })
+	swe.fwd.lod.with(func(boo *share.Book) { cho = boo.Choose(srvs, cal.capacity, []string{srv.ID}, now) })
 	return cho.Server != nil
 }
