Let nodes that the store turns away read from their peers

Ruled out: missed wake-ups (the other three nodes had each version in 60 ms). Change: a node that a peer is ahead of asks that peer for the newest records; the read from the store that was held back meanwhile is ended.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"kumquathinge/core/site"
+	"kumquathinge/io/mirror"
 	"kumquathinge/platform"
 )
 
@@ -18,12 +20,15 @@
 	// followPause follows a read that brought records, so that a burst of
 	// changes takes few calls.
 	followPause = 10 * time.Millisecond
-	// hintPause follows a read that was cut for newer records.
-	hintPause = 20 * time.Millisecond
 	// retryPause is the first pause after a failed call; it doubles up to
 	// retryPauseMax. The store takes 2,000 reads a second of all nodes.
 	retryPause    = 60 * time.Millisecond
 	retryPauseMax = 400 * time.Millisecond
+	// behindTime is the time for which a read must have been held back before
+	// a peer that knows more is asked instead: a slow store needs its time.
+	behindTime = 300 * time.Millisecond
+	// mirrorBound is the longest wait for a peer's records.
+	mirrorBound = 600 * time.Millisecond
 )
 
 // change is what a follower read.
@@ -33,13 +38,23 @@
 	gone []string
 	// end is the offset after the last record that was read.
 	end int64
+	// mirrored records come from a peer that reaches the store.
+	mirrored bool
+}
+
+// lead is a peer that has read further.
+type lead struct {
+	addr string
+	end  int64
 }
 
 // follower follows one keyed topic of the store: it starts from the newest
-// records, reads on by offset, and starts again after a gap. A record that is
-// older than what is known of its key is never handed on.
+// records, reads on by offset, and starts again after a gap. While the store
+// doesn't answer, it reads from peers that know more. A record that is older
+// than what is known of its key is never handed on.
 type follower struct {
 	sto   *platform.Store
+	mir   *mirror.Client
 	hea   *health
 	log   *logrus.Logger
 	met   *meter
@@ -47,48 +62,56 @@
 	wait  time.Duration
 	apply func(change)
 
-	known map[string]int64
 	next  atomic.Int64
 	pause time.Duration
-	// poll ends the read in progress.
-	poll atomic.Pointer[context.CancelFunc]
+	fresh bool
+	// behind is a peer that has read further, wake tells of it.
+	behind atomic.Pointer[lead]
+	wake   chan struct{}
+	// poll ends the read in progress, which began at polled.
+	poll   atomic.Pointer[context.CancelFunc]
+	polled atomic.Int64
+
+	mtx    sync.Mutex
+	latest map[string]site.Record
 }
 
-// hint tells that the topic reaches to end by the word of a peer. A read that
-// is held back although there are newer records is made again.
-func (fol *follower) hint(end int64) {
+// hint tells that a peer has read the topic to end.
+func (fol *follower) hint(addr string, end int64, now time.Time) {
 	if end <= fol.next.Load() {
 		return
 	}
-	if cut := fol.poll.Load(); cut != nil {
+	cut := fol.poll.Load()
+	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) {
+		return
+	}
+	fol.behind.Store(&lead{addr: addr, end: end})
+	if cut != nil {
 		(*cut)()
 	}
+	select {
+	case fol.wake <- struct{}{}:
+	default:
+	}
 }
 
 // run follows until ctx ends.
 func (fol *follower) run(ctx context.Context) error {
-	fol.known = map[string]int64{}
-	fresh := true
 	for ctx.Err() == nil {
-		var err error
-		sent := time.Now()
-		if fresh {
-			err = fol.newest(ctx)
-		} else {
-			err = fol.read(ctx)
+		if led := fol.behind.Swap(nil); led != nil && led.end > fol.next.Load() {
+			fol.copy(ctx, led)
 		}
+		sent := time.Now()
+		err := fol.step(ctx)
 		switch {
 		case err == nil:
-			fresh = false
+			fol.fresh = false
 			fol.pause = 0
-			fol.up()
-			if fol.topic == platform.TopicNodes {
-				fol.hea.confirm(sent)
-			}
+			fol.up(sent)
+		case errors.Is(err, errHinted):
 		case errors.Is(err, platform.ErrTrimmed):
 			fol.log.WithFields(logrus.Fields{"event": "store_gap", "topic": fol.topic, "from": fol.next.Load()}).Warn("records dropped before they were read; reading the newest ones")
-			fresh = true
-			fol.up()
+			fol.fresh = true
 			sleep(ctx, retryPause)
 		default:
 			fol.failed(ctx, err)
@@ -97,12 +120,28 @@
 	return nil
 }
 
-func (fol *follower) up() {
+// errHinted ends a read because a peer knows more.
+var errHinted = errors.New("a peer has read further")
+
+func (fol *follower) step(ctx context.Context) error {
+	fol.met.storeCalls.Inc()
+	if fol.fresh {
+		return fol.newest(ctx)
+	}
+	return fol.read(ctx)
+}
+
+// up notes that the store answered a call that was sent at the time.
+func (fol *follower) up(sent time.Time) {
+	if fol.topic == platform.TopicNodes {
+		fol.hea.confirm(sent)
+	}
 	if fol.hea.ok(time.Now()) {
 		fol.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "store"}).Info("the store answers again")
 	}
 }
 
+// failed notes a failed call and waits, or until a peer knows more.
 func (fol *follower) failed(ctx context.Context, err error) {
 	fol.met.storeErrors.Inc()
 	if ctx.Err() != nil {
@@ -112,12 +151,17 @@
 		fol.log.WithFields(logrus.Fields{"event": "dependency_lost", "dependency": "store", "topic": fol.topic, "error": err}).Warn("the store doesn't answer")
 	}
 	fol.pause = min(max(retryPause, 2*fol.pause), retryPauseMax)
-	sleep(ctx, fol.pause/2+rand.N(fol.pause))
+	tmr := time.NewTimer(fol.pause/2 + rand.N(fol.pause))
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	case <-fol.wake:
+	}
 }
 
 // newest reads the newest record of each key.
 func (fol *follower) newest(ctx context.Context) error {
-	fol.met.storeCalls.Inc()
 	recs, end, err := fol.sto.Newest(ctx, fol.topic)
 	if err != nil {
 		return err
@@ -126,14 +170,9 @@
 	for _, rec := range recs {
 		seen[rec.Key] = true
 	}
-	chg := change{records: fol.newer(recs), end: end}
+	chg := change{records: fol.newer(recs)}
 	if end >= fol.next.Load() {
-		for key, off := range fol.known {
-			if !seen[key] && off < end {
-				chg.gone = append(chg.gone, key)
-				delete(fol.known, key)
-			}
-		}
+		chg.gone = fol.missing(seen, end)
 		fol.next.Store(end)
 	}
 	chg.end = fol.next.Load()
@@ -143,44 +182,109 @@
 
 // read reads on from the last offset.
 func (fol *follower) read(ctx context.Context) error {
-	fol.met.storeCalls.Inc()
 	from := fol.next.Load()
 	pctx, cut := context.WithCancel(ctx)
 	defer cut()
+	fol.polled.Store(time.Now().UnixNano())
 	fol.poll.Store(&cut)
 	recs, next, err := fol.sto.Follow(pctx, fol.topic, from, fol.wait)
 	fol.poll.Store(nil)
-	if err != nil && pctx.Err() != nil && ctx.Err() == nil {
-		fol.log.WithFields(logrus.Fields{"event": "store_hint", "topic": fol.topic, "from": from}).Info("a peer knows of newer records; reading again")
-		sleep(ctx, hintPause)
-		return nil
-	}
 	if err != nil {
+		if pctx.Err() != nil && ctx.Err() == nil {
+			return errHinted
+		}
 		return err
 	}
-	next = max(next, from)
-	fol.next.Store(next)
+	// The records go in before the end that peers are told.
+	recs = fol.newer(recs)
+	fol.next.Store(max(next, from))
 	if len(recs) == 0 {
 		return nil
 	}
-	fol.apply(change{records: fol.newer(recs), end: next})
+	fol.apply(change{records: recs, end: fol.next.Load()})
 	sleep(ctx, followPause)
 	return nil
 }
 
-// newer returns the records that are newer than what is known of their keys.
+// copy reads from a peer that has read further.
+func (fol *follower) copy(ctx context.Context, led *lead) {
+	ctx, cancel := context.WithTimeout(ctx, mirrorBound)
+	defer cancel()
+	from := fol.next.Load()
+	pag, err := fol.mir.Fetch(ctx, led.addr, mirror.Ask{Topic: fol.topic, From: from})
+	fol.log.WithFields(logrus.Fields{
+		"event": "mirror", "topic": fol.topic, "peer": led.addr, "from": from, "end": pag.End, "records": len(pag.Records), "error": err,
+	}).Info("read from a peer that has read further")
+	if err != nil || pag.End <= from {
+		return
+	}
+	recs := make([]site.Record, 0, len(pag.Records))
+	for _, rec := range pag.Records {
+		recs = append(recs, site.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+	}
+	recs = fol.newer(recs)
+	fol.fresh = false
+	fol.next.Store(pag.End)
+	fol.apply(change{records: recs, end: pag.End, mirrored: true})
+}
+
+// newer notes and returns the records that are newer than what is known.
 func (fol *follower) newer(recs []site.Record) []site.Record {
+	fol.mtx.Lock()
+	defer fol.mtx.Unlock()
 	out := recs[:0]
 	for _, rec := range recs {
-		if off, ok := fol.known[rec.Key]; ok && off >= rec.Offset {
+		if old, ok := fol.latest[rec.Key]; ok && old.Offset >= rec.Offset {
 			continue
 		}
-		fol.known[rec.Key] = rec.Offset
+		fol.latest[rec.Key] = rec
 		out = append(out, rec)
 	}
 	return out
 }
 
+// missing notes and returns the keys below end that are not among those seen.
+func (fol *follower) missing(seen map[string]bool, end int64) []string {
+	fol.mtx.Lock()
+	defer fol.mtx.Unlock()
+	var out []string
+	for key, rec := range fol.latest {
+		if !seen[key] && rec.Offset < end && len(rec.Value) > 0 {
+			out = append(out, key)
+			fol.latest[key] = site.Record{Key: key, Offset: end - 1}
+		}
+	}
+	return out
+}
+
+// page returns the newest records of keys that changed from the offset on.
+func (fol *follower) page(from int64) mirror.Page {
+	fol.mtx.Lock()
+	defer fol.mtx.Unlock()
+	pag := mirror.Page{End: fol.next.Load()}
+	for _, rec := range fol.latest {
+		if rec.Offset >= from {
+			pag.Records = append(pag.Records, mirror.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+		}
+	}
+	return pag
+}
+
+// mirrors serves the topics of the followers to peers.
+type mirrors []*follower
+
+var _ mirror.Source = mirrors(nil)
+
+// Page implements mirror.Source.
+func (mrs mirrors) Page(ask mirror.Ask) (mirror.Page, bool) {
+	for _, fol := range mrs {
+		if fol.topic == ask.Topic {
+			return fol.page(ask.From), true
+		}
+	}
+	return mirror.Page{}, false
+}
+
 // sleep waits for the duration or the end of ctx.
 func sleep(ctx context.Context, dur time.Duration) {
 	tmr := time.NewTimer(dur)
--- a/entry/node.go
+++ b/entry/node.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core/site"
+	"kumquathinge/io/mirror"
 	"kumquathinge/io/wire"
 	"kumquathinge/platform"
 )
@@ -111,9 +112,11 @@
 		log: nod.log, met: nod.met, self: self, stop: nod.fro.leaving.Load, busy: nod.fro.arrived.Load,
 	}
 	cfr := &configurer{sta: nod.sta, log: nod.log, met: nod.met, changed: nod.reg.tableChanged}
+	mir := mirror.NewClient(dialBound)
 	follow := func(topic string, wait time.Duration, apply func(change)) {
 		nod.fol = append(nod.fol, &follower{
-			sto: sto, hea: hea, log: nod.log, met: nod.met, topic: topic, apply: apply, wait: wait,
+			sto: sto, mir: mir, hea: hea, log: nod.log, met: nod.met, topic: topic, apply: apply, wait: wait,
+			fresh: true, wake: make(chan struct{}, 1), latest: map[string]site.Record{},
 		})
 	}
 	follow(platform.TopicOperator, followWait, cfr.apply)
@@ -157,6 +160,10 @@
 	add(nod.watchSettings)
 	nod.addServer(&grp, nod.fro.srv, callers)
 	nod.addServer(&grp, nod.fro.readiness(), ready)
+	err = nod.addMirror(&grp)
+	if err != nil {
+		return err
+	}
 	err = nod.addMetrics(&grp, set.IP)
 	if err != nil {
 		return err
@@ -174,6 +181,16 @@
 	grp.Add(func() error { return srv.Serve(lis) }, func(error) { _ = lis.Close() })
 }
 
+// addMirror adds the server of the topics for peers.
+func (nod *Node) addMirror(grp *run.Group) error {
+	lis, err := net.Listen("tcp", nod.prs.self.Addr)
+	if err != nil {
+		return eris.Wrap(err, "listening for peers")
+	}
+	nod.addHTTP(grp, lis, mirror.Handler(mirrors(nod.fol)))
+	return nil
+}
+
 // addMetrics adds the server of the metrics, if a port is set.
 func (nod *Node) addMetrics(grp *run.Group, ip string) error {
 	if nod.opt.MetricsPort == 0 {
@@ -183,10 +200,13 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for metrics")
 	}
-	srv := &http.Server{
-		Handler:           http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) { nod.met.write(wtr) }),
-		ReadHeaderTimeout: readBound,
-	}
+	nod.addHTTP(grp, lis, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) { nod.met.write(wtr) }))
+	return nil
+}
+
+// addHTTP adds a server of other processes than callers on lis.
+func (nod *Node) addHTTP(grp *run.Group, lis net.Listener, hdl http.Handler) {
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: readBound, IdleTimeout: idleBound}
 	grp.Add(func() error {
 		err := srv.Serve(lis)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -194,7 +214,6 @@
 		}
 		return err
 	}, func(error) { _ = srv.Close() })
-	return nil
 }
 
 // stop waits for the order to stop, turns unready, and returns when the open
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -39,6 +39,8 @@
 	Stopping bool `cbor:"7,keyasint"`
 	// Ends are the offsets to which the node has read the topics.
 	Ends []int64 `cbor:"8,keyasint"`
+	// Addr is the node's address for peers.
+	Addr string `cbor:"9,keyasint"`
 }
 
 // heard is the last report of a peer.
@@ -131,7 +133,7 @@
 	}
 	for idx, end := range bea.Ends {
 		if idx < len(prs.topics) {
-			prs.topics[idx].hint(end)
+			prs.topics[idx].hint(bea.Addr, end, now)
 		}
 	}
 	prs.lod.with(func(boo *share.Book) { boo.Peer(bea.Node, bea.Running, now) })
@@ -162,7 +164,7 @@
 // send sends one report to each node that the store knows.
 func (prs *peers) send(now time.Time) {
 	ros := prs.sta.nodes.Load()
-	bea := beat{Node: prs.self.Node, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop()}
+	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop()}
 	prs.lod.with(func(boo *share.Book) {
 		bea.Running = boo.Own()
 		bea.Silent = boo.Silent(silenceBound, now)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -72,7 +72,7 @@
 func (reg *registry) take(chg change, now time.Time) {
 	for _, rec := range chg.records {
 		if len(rec.Value) == 0 {
-			reg.remove(rec.Key, now)
+			reg.remove(rec.Key, chg.mirrored, now)
 			continue
 		}
 		srv, err := platform.DecodeServer(rec.Key, rec.Value)
@@ -84,7 +84,7 @@
 		reg.note(srv, rec.Offset)
 	}
 	for _, key := range chg.gone {
-		reg.remove(key, now)
+		reg.remove(key, chg.mirrored, now)
 	}
 }
 
@@ -104,12 +104,13 @@
 }
 
 // remove drops a server whose entry went. While the store is back for a short
-// time only, the server may live and register again.
-func (reg *registry) remove(id string, now time.Time) {
+// time only, the server may live and register again; a peer that tells of it has
+// reached the store all the while.
+func (reg *registry) remove(id string, mirrored bool, now time.Time) {
 	if reg.servers[id] == nil {
 		return
 	}
-	if reg.hea.down.Load() || reg.hea.sinceBack(now) < lapseGrace {
+	if !mirrored && (reg.hea.down.Load() || reg.hea.sinceBack(now) < lapseGrace) {
 		reg.lapsed[id] = true
 		return
 	}
--- /dev/null
+++ b/io/mirror/errors.go
@@ -0,0 +1,5 @@
+package mirror
+
+import "github.com/rotisserie/eris"
+
+var errUnknown = eris.New("no such topic")
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -34,3 +34,6 @@
 
 // Unmarshal decodes data into msg.
 func (codec) Unmarshal(data []byte, msg any) error { return cbor.Unmarshal(data, msg) }
+
+// Codec returns the encoding of messages between entry VMs.
+func Codec() connect.Codec { return codec{} }
