Let one reader a zone ask the store and tell the others

Ruled out: fewer reads for each node alone, since each change of a group costs a call per node. Change: the first live node of a zone that reaches the store reads it, tells the others in datagrams, and the rest fetch what they missed from it.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -27,6 +27,9 @@
 	// behindTime is the time for which a read must have been held back before
 	// a peer that knows more is asked instead: a slow store needs its time.
 	behindTime = 300 * time.Millisecond
+	// dutyPause is the pause between two looks whether this node reads the
+	// store for its zone.
+	dutyPause = 150 * time.Millisecond
 	// mirrorBound is the longest wait for a peer's records.
 	mirrorBound = 600 * time.Millisecond
 )
@@ -48,10 +51,20 @@
 	end  int64
 }
 
+// news is what a reader tells the other nodes of its zone: the records of a
+// topic from one offset to another.
+type news struct {
+	Topic   string          `cbor:"1,keyasint"`
+	From    int64           `cbor:"2,keyasint"`
+	End     int64           `cbor:"3,keyasint"`
+	Records []mirror.Record `cbor:"4,keyasint"`
+}
+
 // follower follows one keyed topic of the store: it starts from the newest
-// records, reads on by offset, and starts again after a gap. While the store
-// doesn't answer, it reads from peers that know more. A record that is older
-// than what is known of its key is never handed on.
+// records, reads on by offset, and starts again after a gap. Only the readers
+// of a zone ask the store; other nodes are told by them, and a node that lags
+// behind reads from a peer that knows more. A record that is older than what
+// is known of its key is never handed on.
 type follower struct {
 	sto   *platform.Store
 	mir   *mirror.Client
@@ -61,13 +74,20 @@
 	topic string
 	wait  time.Duration
 	apply func(change)
+	// reads reports whether this node asks the store.
+	reads func() bool
+	// tell hands on what was read.
+	tell func(news)
 
 	next  atomic.Int64
 	pause time.Duration
 	fresh bool
-	// behind is a peer that has read further, wake tells of it.
+	// behind is a peer that has read further, wake tells of it. late is the
+	// time since which one is known, in nanoseconds.
 	behind atomic.Pointer[lead]
 	wake   chan struct{}
+	late   atomic.Int64
+	inbox  chan news
 	// poll ends the read in progress, which began at polled.
 	poll   atomic.Pointer[context.CancelFunc]
 	polled atomic.Int64
@@ -76,13 +96,17 @@
 	latest map[string]site.Record
 }
 
-// hint tells that a peer has read the topic to end.
-func (fol *follower) hint(addr string, end int64, now time.Time) {
+// hint tells that a peer has read the topic to end. A peer of another zone is
+// asked only if this node has lagged behind for a time.
+func (fol *follower) hint(addr string, end int64, near bool, now time.Time) {
 	if end <= fol.next.Load() {
+		fol.late.Store(0)
 		return
 	}
+	fol.late.CompareAndSwap(0, now.UnixNano())
+	lag := now.UnixNano() - fol.late.Load()
 	cut := fol.poll.Load()
-	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) {
+	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) || !near && lag < int64(behindTime) {
 		return
 	}
 	fol.behind.Store(&lead{addr: addr, end: end})
@@ -95,12 +119,25 @@
 	}
 }
 
+// take gets what a reader tells. It never blocks.
+func (fol *follower) take(nws news) {
+	select {
+	case fol.inbox <- nws:
+	default:
+		fol.met.peerErrors.Inc()
+	}
+}
+
 // run follows until ctx ends.
 func (fol *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if led := fol.behind.Swap(nil); led != nil && led.end > fol.next.Load() {
 			fol.copy(ctx, led)
 		}
+		if !fol.reads() {
+			fol.listen(ctx)
+			continue
+		}
 		sent := time.Now()
 		err := fol.step(ctx)
 		switch {
@@ -120,6 +157,34 @@
 	return nil
 }
 
+// listen takes what readers tell, until it is time to look again whether this
+// node is one.
+func (fol *follower) listen(ctx context.Context) {
+	tmr := time.NewTimer(dutyPause)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	case <-fol.wake:
+	case nws := <-fol.inbox:
+		if next := fol.next.Load(); nws.From <= next && nws.End > next {
+			fol.merge(nws.Records, nws.End)
+		}
+	}
+}
+
+// merge applies records that came from a peer.
+func (fol *follower) merge(raw []mirror.Record, end int64) {
+	recs := make([]site.Record, 0, len(raw))
+	for _, rec := range raw {
+		recs = append(recs, site.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+	}
+	recs = fol.newer(recs)
+	fol.fresh = false
+	fol.next.Store(end)
+	fol.apply(change{records: recs, end: end, mirrored: true})
+}
+
 // errHinted ends a read because a peer knows more.
 var errHinted = errors.New("a peer has read further")
 
@@ -195,6 +260,9 @@
 		}
 		return err
 	}
+	if len(recs) > 0 {
+		fol.tell(news{Topic: fol.topic, From: from, End: next, Records: toMirror(recs)})
+	}
 	// The records go in before the end that peers are told.
 	recs = fol.newer(recs)
 	fol.next.Store(max(next, from))
@@ -218,14 +286,15 @@
 	if err != nil || pag.End <= from {
 		return
 	}
-	recs := make([]site.Record, 0, len(pag.Records))
-	for _, rec := range pag.Records {
-		recs = append(recs, site.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+	fol.merge(pag.Records, pag.End)
+}
+
+func toMirror(recs []site.Record) []mirror.Record {
+	out := make([]mirror.Record, 0, len(recs))
+	for _, rec := range recs {
+		out = append(out, mirror.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
 	}
-	recs = fol.newer(recs)
-	fol.fresh = false
-	fol.next.Store(pag.End)
-	fol.apply(change{records: recs, end: pag.End, mirrored: true})
+	return out
 }
 
 // newer notes and returns the records that are newer than what is known.
@@ -261,13 +330,13 @@
 func (fol *follower) page(from int64) mirror.Page {
 	fol.mtx.Lock()
 	defer fol.mtx.Unlock()
-	pag := mirror.Page{End: fol.next.Load()}
+	var recs []site.Record
 	for _, rec := range fol.latest {
 		if rec.Offset >= from {
-			pag.Records = append(pag.Records, mirror.Record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+			recs = append(recs, rec)
 		}
 	}
-	return pag
+	return mirror.Page{End: fol.next.Load(), Records: toMirror(recs)}
 }
 
 // mirrors serves the topics of the followers to peers.
--- a/entry/node.go
+++ b/entry/node.go
@@ -48,6 +48,9 @@
 	followWaitNodes = time.Second
 )
 
+// inboxSize is the number of news that wait for a follower.
+const inboxSize = 64
+
 // Connections to backend servers.
 const (
 	// dialBound is the wait for a connection; a round trip takes 2 ms.
@@ -116,7 +119,8 @@
 	follow := func(topic string, wait time.Duration, apply func(change)) {
 		nod.fol = append(nod.fol, &follower{
 			sto: sto, mir: mir, hea: hea, log: nod.log, met: nod.met, topic: topic, apply: apply, wait: wait,
-			fresh: true, wake: make(chan struct{}, 1), latest: map[string]site.Record{},
+			fresh: true, wake: make(chan struct{}, 1), inbox: make(chan news, inboxSize), latest: map[string]site.Record{},
+			reads: func() bool { return nod.prs.reads(time.Now()) }, tell: nod.prs.tell,
 		})
 	}
 	follow(platform.TopicOperator, followWait, cfr.apply)
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -154,7 +154,7 @@
 		case nam == ord.self.Node:
 		case !ok:
 			return "the store doesn't answer and peer " + nam + " isn't heard"
-		case hrd.beat.StoreAge == 0:
+		case hrd.beat.reaches():
 			return "the store answers peer " + nam + " and not this node"
 		case hrd.beat.Term > ros.term:
 			return "peer " + nam + " knows a later orderer"
@@ -165,7 +165,7 @@
 
 // candidate takes over if no node orders and this one is the next.
 func (ord *orderer) candidate(ctx context.Context, ros *roster, now time.Time) {
-	if ord.stop() || ord.hea.age(now) > 0 || ord.sta.table.Load() == nil || ord.served(ros, now) {
+	if ord.stop() || !ord.prs.reads(now) || ord.hea.age(now) > 0 || ord.sta.table.Load() == nil || ord.served(ros, now) {
 		ord.waiting = time.Time{}
 		return
 	}
@@ -207,7 +207,7 @@
 	num := 0
 	for nam := range ros.nodes {
 		hrd, ok := live[nam]
-		if ok && nam < ord.self.Node && !hrd.beat.Stopping && hrd.beat.StoreAge == 0 {
+		if ok && nam < ord.self.Node && hrd.beat.reaches() {
 			num++
 		}
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,6 +42,18 @@
 	Ends []int64 `cbor:"8,keyasint"`
 	// Addr is the node's address for peers.
 	Addr string `cbor:"9,keyasint"`
+	Zone string `cbor:"10,keyasint"`
+	// Reader tells that the node asks the store.
+	Reader bool `cbor:"11,keyasint"`
+}
+
+// reaches reports whether the node asks the store and gets answers.
+func (bea beat) reaches() bool { return bea.Reader && bea.StoreAge == 0 && !bea.Stopping }
+
+// packet is what goes from node to node in one datagram.
+type packet struct {
+	Beat *beat `cbor:"1,keyasint"`
+	News *news `cbor:"2,keyasint"`
 }
 
 // heard is the last report of a peer.
@@ -62,6 +75,10 @@
 	// topics are the followers of the store's topics.
 	topics []*follower
 
+	// stranded is the time since which no node is known to reach the store, in
+	// nanoseconds.
+	stranded atomic.Int64
+
 	mtx   sync.Mutex
 	nodes map[string]heard
 }
@@ -105,13 +122,16 @@
 			}
 			continue
 		}
-		var bea beat
-		err = cbor.Unmarshal(buf[:num], &bea)
-		if err != nil || bea.Node == "" || bea.Node == prs.self.Node {
+		var pkt packet
+		err = cbor.Unmarshal(buf[:num], &pkt)
+		switch {
+		case err != nil:
 			prs.met.peerErrors.Inc()
-			continue
+		case pkt.Beat != nil && pkt.Beat.Node != "" && pkt.Beat.Node != prs.self.Node:
+			prs.take(*pkt.Beat, time.Now())
+		case pkt.News != nil:
+			prs.pass(*pkt.News)
 		}
-		prs.take(bea, time.Now())
 	}
 	return nil
 }
@@ -133,7 +153,7 @@
 	}
 	for idx, end := range bea.Ends {
 		if idx < len(prs.topics) {
-			prs.topics[idx].hint(bea.Addr, end, now)
+			prs.topics[idx].hint(bea.Addr, end, bea.Zone == prs.self.Zone, now)
 		}
 	}
 	prs.lod.with(func(boo *share.Book) { boo.Peer(bea.Node, bea.Running, now) })
@@ -164,7 +184,7 @@
 // send sends one report to each node that the store knows.
 func (prs *peers) send(now time.Time) {
 	ros := prs.sta.nodes.Load()
-	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop()}
+	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now)}
 	prs.lod.with(func(boo *share.Book) {
 		bea.Running = boo.Own()
 		bea.Silent = boo.Silent(silenceBound, now)
@@ -172,21 +192,93 @@
 	for _, fol := range prs.topics {
 		bea.Ends = append(bea.Ends, fol.next.Load())
 	}
-	raw, err := cbor.Marshal(bea)
+	raw, err := cbor.Marshal(packet{Beat: &bea})
 	if err != nil {
 		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("report can't be encoded")
 		return
 	}
 	for nam, rec := range ros.nodes {
-		if nam == prs.self.Node {
-			continue
+		if nam != prs.self.Node {
+			prs.post(raw, rec.Addr)
 		}
-		adr, err := net.ResolveUDPAddr("udp", rec.Addr)
-		if err == nil {
-			_, err = prs.con.WriteToUDP(raw, adr)
+	}
+}
+
+// post sends one datagram.
+func (prs *peers) post(raw []byte, addr string) {
+	adr, err := net.ResolveUDPAddr("udp", addr)
+	if err == nil {
+		_, err = prs.con.WriteToUDP(raw, adr)
+	}
+	if err != nil {
+		prs.met.peerErrors.Inc()
+	}
+}
+
+// pass hands news to the follower of its topic.
+func (prs *peers) pass(nws news) {
+	for _, fol := range prs.topics {
+		if fol.topic == nws.Topic {
+			fol.take(nws)
 		}
-		if err != nil {
-			prs.met.peerErrors.Inc()
+	}
+}
+
+// tell sends what this node has read to the others of its zone. What is too
+// large for a datagram they fetch when they hear how far this node has read.
+func (prs *peers) tell(nws news) {
+	raw, err := cbor.Marshal(packet{News: &nws})
+	if err != nil {
+		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("news can't be encoded")
+		return
+	}
+	if len(raw) > maxNews {
+		return
+	}
+	for nam, rec := range prs.sta.nodes.Load().nodes {
+		if nam != prs.self.Node && rec.Zone == prs.self.Zone {
+			prs.post(raw, rec.Addr)
 		}
 	}
 }
+
+const (
+	// maxNews is the largest news in bytes: a few datagrams of a link.
+	maxNews = 8 << 10
+	// spareReaders is the number of nodes of a zone that ask the store while
+	// none of them gets an answer.
+	spareReaders = 2
+	// strandedTime is the time without any node that reaches the store after
+	// which each node asks it.
+	strandedTime = 3 * time.Second
+)
+
+// reads reports whether this node asks the store: it orders, or no node of its
+// zone that comes before it reaches the store.
+func (prs *peers) reads(now time.Time) bool {
+	ros := prs.sta.nodes.Load()
+	if ros.term > 0 && ros.orderer == prs.self {
+		return true
+	}
+	rank, reached := 0, false
+	for nam, hrd := range prs.live(now) {
+		reached = reached || hrd.beat.reaches()
+		if hrd.beat.Zone != prs.self.Zone || nam > prs.self.Node || hrd.beat.Stopping {
+			continue
+		}
+		if hrd.beat.reaches() {
+			prs.stranded.Store(0)
+			return false
+		}
+		rank++
+	}
+	if rank < spareReaders {
+		return true
+	}
+	if reached {
+		prs.stranded.Store(0)
+		return false
+	}
+	prs.stranded.CompareAndSwap(0, now.UnixNano())
+	return now.UnixNano()-prs.stranded.Load() > int64(strandedTime)
+}
