--- a/core/place/form.go
+++ b/core/place/form.go
@@ -13,7 +13,7 @@
 	// none, so that it gets a group where servers are left.
 	minShare = 0.01
 	// surplus is the factor by which a model may have more servers for its
-	// share than the model that has the fewest, before loads are known.
+	// share than the model that has the fewest while servers still arrive.
 	surplus = 1.15
 	// minLoad stands for the load of a model that has none, so that it keeps
 	// some weight.
@@ -56,7 +56,7 @@
 	var best candidate
 	for idx := range stp.svc.Engine.Models {
 		mod := &stp.svc.Engine.Models[idx]
-		if stp.inp.Load == nil && stp.ratio(mod) > stp.lowest()*surplus {
+		if stp.inp.Calm && stp.ratio(mod) > stp.lowest()*surplus {
 			continue
 		}
 		for _, nam := range names {
--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -77,6 +77,9 @@
 	// staging is the model that is being loaded onto the host, until the time.
 	staging string
 	until   time.Time
+	// stray is the time since which the server is a member of an epoch whose
+	// head is not known to have left it.
+	stray time.Time
 }
 
 // trace is what is remembered of a group's name.
@@ -102,7 +105,15 @@
 	plans  map[string]*plan
 	pasts  map[string]*past
 	traces map[string]*trace
-	loads  *loadBudget
+	// heads are the heads of the epochs of groups, as far as they were seen.
+	heads map[epochKey]string
+	loads *loadBudget
+}
+
+// epochKey names an epoch of a group.
+type epochKey struct {
+	name  string
+	epoch int64
 }
 
 // New returns a Machine for the term. Terms grow with each change of the
@@ -114,6 +125,7 @@
 		plans:  map[string]*plan{},
 		pasts:  map[string]*past{},
 		traces: map[string]*trace{},
+		heads:  map[epochKey]string{},
 		loads:  &loadBudget{},
 	}
 }
@@ -202,6 +214,31 @@
 			delete(mac.pasts, id)
 		}
 	}
+	seen := map[string]bool{}
+	for _, grp := range inp.View.Groups() {
+		seen[grp.Name] = true
+		if hea := grp.Head(); hea != nil {
+			mac.heads[epochKey{name: grp.Name, epoch: grp.Epoch}] = hea.ID
+		}
+	}
+	for nam, trc := range mac.traces {
+		if !seen[nam] {
+			// What was seen before the group went out of sight says nothing of it
+			// when it comes back.
+			trc.closed, trc.orphaned, trc.joining, trc.missing = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+		}
+	}
+}
+
+// headLeft reports whether the head of a member's epoch is known not to serve
+// it any more.
+func (mac *Machine) headLeft(srv *site.Server, vie *site.View) bool {
+	id, ok := mac.heads[epochKey{name: srv.Group.Name, epoch: srv.Group.Epoch}]
+	if !ok {
+		return false
+	}
+	hea := vie.Server(id)
+	return hea != nil && (hea.Group.Name != srv.Group.Name || hea.Group.Epoch != srv.Group.Epoch)
 }
 
 // trace returns what is remembered of a group's name.
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -64,17 +64,36 @@
 	return stp.inp.Now.Sub(trc.missing) < rejoinGrace
 }
 
-// retireOlder tells heads of earlier epochs of a name to leave, which may
-// still serve, and keeps them from other groups until then.
-func (stp *step) retireOlder(sqd *squad) {
+// keepOlder holds the members of earlier epochs of a name: heads that may
+// serve are told to leave, and others wait until their head surely doesn't.
+func (stp *step) keepOlder(sqd *squad) {
 	for _, srv := range sqd.older {
-		if mayServe(srv) && stp.present(srv) && !stp.held[srv.ID] {
+		if !stp.present(srv) || stp.held[srv.ID] {
+			continue
+		}
+		switch {
+		case mayServe(srv):
 			stp.hold(srv)
 			stp.send(srv, site.Order{Kind: site.OrderLeave, Group: srv.Group.Name, Epoch: srv.Group.Epoch})
+		case srv.Group.Rank > 0 && stp.stray(srv):
+			stp.hold(srv)
 		}
 	}
 }
 
+// stray reports whether the head of a member's epoch may still serve.
+func (stp *step) stray(srv *site.Server) bool {
+	pst := stp.mac.pasts[srv.ID]
+	if stp.mac.headLeft(srv, stp.inp.View) {
+		pst.stray = time.Time{}
+		return false
+	}
+	if pst.stray.IsZero() {
+		pst.stray = stp.inp.Now
+	}
+	return stp.inp.Now.Sub(pst.stray) < orphanBound
+}
+
 // mayServe reports whether a server may serve as the head of its group by now:
 // its entry may be older than an order to open.
 func mayServe(srv *site.Server) bool {
@@ -125,7 +144,7 @@
 		if trc.orphaned.IsZero() {
 			trc.orphaned = stp.inp.Now
 		}
-		if hea == nil && trc.left || stp.inp.Now.Sub(trc.orphaned) > orphanBound {
+		if hea == nil && (trc.left || stp.mac.headLeft(sqd.all[0], stp.inp.View)) || stp.inp.Now.Sub(trc.orphaned) > orphanBound {
 			stp.release(mems)
 		}
 	}
--- a/core/place/step.go
+++ b/core/place/step.go
@@ -41,7 +41,7 @@
 		stp.repair(sqd)
 	}
 	for _, sqd := range squads {
-		stp.retireOlder(sqd)
+		stp.keepOlder(sqd)
 	}
 	stp.form()
 	stp.stageSpares()
