Test the daemon of the platform against stand-ins of it

A small platform in memory (platform/platfk), contract tests of the store's client, and tests of the whole path with faults in tables. Found by the tests: the path of a request was sent on in normalised form (a%2Fb became a/b), because a look at the host parsed the URI.

--- a/entry/node.go
+++ b/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -24,9 +25,9 @@
 
 // Timing of a planned stop.
 const (
-	// stopAccept is the time for which requests are taken after the order to
+	// stopNotice is the time for which requests are taken after the order to
 	// stop: the balancer asks once a second and needs two refusals.
-	stopAccept = 2800 * time.Millisecond
+	stopNotice = 2800 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 500 * time.Millisecond
 	// stopPoll is the pause between two looks at what is still open.
@@ -71,6 +72,11 @@
 	MetricsPort int
 	// SettingsPath is the path of the settings file.
 	SettingsPath string
+	// Log gets the log lines; nil stands for standard output.
+	Log io.Writer
+	// StopNotice is the time for which a node that stops still takes requests;
+	// zero stands for what the balancer needs.
+	StopNotice time.Duration
 }
 
 // Node is the daemon of an entry VM.
@@ -94,9 +100,16 @@
 
 // New returns a node with the settings set.
 func New(opt Options, set site.Settings) *Node {
-	nod := &Node{opt: opt, met: newMeter()}
+	nod := &Node{met: newMeter()}
 	nod.set.Store(&set)
-	nod.log, nod.wtr = newLogger(os.Stdout, nod.met.logDropped.Inc)
+	if opt.Log == nil {
+		opt.Log = os.Stdout
+	}
+	if opt.StopNotice == 0 {
+		opt.StopNotice = stopNotice
+	}
+	nod.opt = opt
+	nod.log, nod.wtr = newLogger(opt.Log, nod.met.logDropped.Inc)
 	now := time.Now()
 	self := nodeRecord{Node: set.Node, Zone: set.Zone, Addr: net.JoinHostPort(set.IP, itoa(set.PeerPort)), Life: now.UnixNano()}
 	hea := newHealth(now)
@@ -235,7 +248,7 @@
 	nod.log.WithFields(logrus.Fields{"event": "stopping", "open": nod.swe.count()}).Info("told to stop; unready, requests in progress go on")
 	end := begin.Add(nod.set.Load().StopGrace - stopMargin)
 	for now := begin; now.Before(end); now = time.Now() {
-		if now.Sub(begin) > stopAccept {
+		if now.Sub(begin) > nod.opt.StopNotice {
 			nod.fro.refusing.Store(true)
 			if nod.swe.count() == 0 {
 				break
--- /dev/null
+++ b/entry/path_test.go
@@ -0,0 +1,248 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/platform"
+	"kumquathinge/platform/platfk"
+)
+
+func TestWholePath(t *testing.T) {
+	rig := newRig(t, 2, 2)
+	rig.ready()
+	for _, nod := range rig.nodes {
+		ans := rig.post(nod, "/stream/a%2Fb?q=1", map[string]string{"Other": "kept", platform.HeaderTenant: "forged", platform.HeaderUrgency: "0"})
+		assert.Equal(t, ans.status, http.StatusOK)
+		assert.Equal(t, ans.body, wantEvents(0))
+		assert.Assert(t, ans.whole)
+		assert.Assert(t, strings.HasPrefix(ans.header.Get(platform.HeaderSignature), "stamp-e"))
+		got := arrived(rig.engines, ans.id)
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, got[0].Path, "/stream/a%2Fb?q=1")
+		assert.Equal(t, got[0].Body, "a body")
+		assert.Equal(t, got[0].Header.Get("Other"), "kept")
+		assert.Equal(t, got[0].Header.Get(platform.HeaderTenant), org)
+		assert.Equal(t, got[0].Header.Get(platform.HeaderKey), "")
+		assert.Equal(t, got[0].Header.Get(platform.HeaderUrgency), "")
+
+		ans = rig.post(nod, "/charge/1", nil)
+		assert.Equal(t, ans.status, http.StatusOK)
+		assert.Equal(t, ans.body, "answer to "+ans.id)
+		assert.Equal(t, ran(rig.plains, ans.id), 1)
+	}
+}
+
+func TestRejected(t *testing.T) {
+	rig := newRig(t, 1, 1)
+	nod := rig.nodes[0]
+	rig.await("answer without configuration", func() bool {
+		return rig.get(nod, "/read/x", nil).status == http.StatusServiceUnavailable
+	})
+	rig.ready()
+	assert.Equal(t, rig.get(nod, "/read/x", map[string]string{platform.HeaderKey: "wrong"}).status, http.StatusUnauthorized)
+	assert.Equal(t, rig.get(nod, "/nowhere/x", nil).status, http.StatusNotFound)
+	assert.Equal(t, rig.get(nod, "/readx", nil).status, http.StatusNotFound)
+}
+
+// TestPlainFailures holds the answer and the number of runs against how the
+// server that gets a request first fails.
+func TestPlainFailures(t *testing.T) {
+	tests := []struct {
+		name   string
+		reply  platfk.Reply
+		path   string
+		status int
+		runs   int
+	}{
+		{"refused, idempotent", platfk.Reply{Refuse: true}, "/read/x", 200, 1},
+		{"refused, once", platfk.Reply{Refuse: true}, "/charge/x", 200, 1},
+		{"closed, idempotent", platfk.Reply{Cut: -1}, "/read/x", 200, 2},
+		{"closed, once", platfk.Reply{Cut: -1}, "/charge/x", 502, 1},
+		{"cut, idempotent", platfk.Reply{Cut: 4}, "/read/x", 200, 2},
+		{"cut, once", platfk.Reply{Cut: 4}, "/charge/x", 502, 1},
+		{"silent, idempotent", platfk.Reply{Stall: -1}, "/read/x", 200, 2},
+		{"silent, once", platfk.Reply{Stall: -1}, "/charge/x", 504, 1},
+		{"failure, idempotent", platfk.Reply{Status: 500}, "/read/x", 200, 2},
+		{"failure, once", platfk.Reply{Status: 500}, "/charge/x", 500, 1},
+		{"encoded, once", platfk.Reply{Encoding: "gzip"}, "/charge/x", 502, 1},
+		{"encoded, idempotent", platfk.Reply{Encoding: "gzip"}, "/read/x", 200, 2},
+		{"unframed", platfk.Reply{Unframed: true}, "/charge/x", 200, 1},
+		{"another answer first", platfk.Reply{Before: "HTTP/1.1 200 OK\r\n" + platform.HeaderAttempt + ": other\r\nContent-Length: 2\r\n\r\nno"}, "/charge/x", 200, 1},
+		{"bytes that are no answer", platfk.Reply{Before: "no answer\r\n\r\n"}, "/charge/x", 502, 1},
+	}
+	rig := newRig(t, 1, 1)
+	rig.ready()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var mtx sync.Mutex
+			first := true
+			all(rig.plains, func(*http.Request, int) platfk.Reply {
+				mtx.Lock()
+				defer mtx.Unlock()
+				if first {
+					first = false
+					return tt.reply
+				}
+				return platfk.Reply{}
+			})
+			ans := rig.post(rig.nodes[0], tt.path, nil)
+			assert.Equal(t, ans.status, tt.status)
+			assert.Equal(t, ran(rig.plains, ans.id), tt.runs)
+			if ans.status == http.StatusOK {
+				assert.Equal(t, ans.body, "answer to "+ans.id)
+			}
+		})
+	}
+}
+
+// TestStreamFailures breaks streams at their first server.
+func TestStreamFailures(t *testing.T) {
+	tests := []struct {
+		name  string
+		reply platfk.Reply
+		whole bool
+	}{
+		{"cut before the header", platfk.Reply{Cut: -1}, true},
+		{"cut in the second event", platfk.Reply{Cut: 1}, true},
+		{"cut in the middle", platfk.Reply{Cut: 5}, true},
+		{"silent from the start", platfk.Reply{Stall: -1}, true},
+		{"silent in the middle", platfk.Reply{Stall: 5}, true},
+		{"refused", platfk.Reply{Refuse: true}, true},
+	}
+	rig := newRig(t, 1, 2)
+	rig.ready()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var mtx sync.Mutex
+			first := ""
+			all(rig.engines, func(req *http.Request, _ int) platfk.Reply {
+				mtx.Lock()
+				defer mtx.Unlock()
+				if first == "" {
+					first = req.Header.Get(platform.HeaderExpect)
+					return tt.reply
+				}
+				return platfk.Reply{}
+			})
+			ans := rig.post(rig.nodes[0], "/stream/x", nil)
+			assert.Equal(t, ans.status, http.StatusOK)
+			assert.Equal(t, ans.body, wantEvents(0))
+			assert.Assert(t, ans.whole)
+			if tt.reply.Cut > 0 || tt.reply.Stall > 0 {
+				assert.Equal(t, ans.header.Get(platform.HeaderSignature), "stamp-"+first, "signature of the first server")
+			}
+		})
+	}
+}
+
+// TestStreamNotResumable checks that a stream that may not go on elsewhere
+// runs once and doesn't look whole.
+func TestStreamNotResumable(t *testing.T) {
+	rig := newRig(t, 1, 2)
+	rig.resumable = false
+	rig.ready()
+	all(rig.engines, func(*http.Request, int) platfk.Reply { return platfk.Reply{Cut: 5} })
+	ans := rig.post(rig.nodes[0], "/stream/x", nil)
+	assert.Equal(t, ans.status, http.StatusOK)
+	assert.Assert(t, !ans.whole)
+	assert.Assert(t, strings.HasPrefix(wantEvents(0), ans.body))
+	assert.Equal(t, ran(rig.engines, ans.id), 1)
+}
+
+// TestResumedByCaller lets a caller go on after an event.
+func TestResumedByCaller(t *testing.T) {
+	rig := newRig(t, 1, 1)
+	rig.ready()
+	ans := rig.post(rig.nodes[0], "/stream/x", map[string]string{platform.HeaderLastEvent: "7"})
+	assert.Equal(t, ans.body, wantEvents(7))
+}
+
+// TestCallerGone closes callers' connections before and in the middle of an
+// answer: the server sees it.
+func TestCallerGone(t *testing.T) {
+	for _, rep := range []platfk.Reply{{Stall: -1}, {Stall: 3}, {Pause: 50 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%+v", rep), func(t *testing.T) {
+			rig := newRig(t, 1, 1)
+			rig.ready()
+			all(rig.engines, func(*http.Request, int) platfk.Reply { return rep })
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan answer, 1)
+			go func() { done <- rig.ask(ctx, rig.nodes[0], http.MethodPost, "/stream/gone", nil, "") }()
+			var got []platfk.Seen
+			seen := func() bool {
+				got = nil
+				for _, srv := range rig.engines {
+					for _, one := range srv.Seen() {
+						if one.Path == "/stream/gone" {
+							got = append(got, one)
+						}
+					}
+				}
+				return len(got) == 1
+			}
+			rig.await("request at a server", seen)
+			cancel()
+			rig.await("server sees the close", func() bool { return seen() && got[0].Gone })
+			<-done
+		})
+	}
+}
+
+// TestNoRoom fills the groups: what is refused has not reached a server.
+func TestNoRoom(t *testing.T) {
+	rig := newRig(t, 1, 1)
+	rig.ready()
+	all(rig.engines, func(*http.Request, int) platfk.Reply { return platfk.Reply{Stall: 3} })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const slots = 8
+	var wgr sync.WaitGroup
+	for range slots + 1 {
+		wgr.Go(func() { rig.ask(ctx, rig.nodes[0], http.MethodPost, "/stream/fill", nil, "") })
+	}
+	rig.await("full group", func() bool {
+		num := 0
+		for _, srv := range rig.engines {
+			for _, one := range srv.Seen() {
+				if one.Path == "/stream/fill" {
+					num++
+				}
+			}
+		}
+		return num == slots+1
+	})
+	begin := time.Now()
+	ans := rig.post(rig.nodes[0], "/stream/more", nil)
+	assert.Equal(t, ans.status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(begin) < time.Second)
+	assert.Assert(t, ans.header.Get("Retry-After") != "")
+	assert.Equal(t, len(arrived(rig.engines, ans.id)), 0)
+	cancel()
+	wgr.Wait()
+}
+
+// TestDeadline checks that a request ends at the caller's deadline, and that
+// servers are told what is left of it.
+func TestDeadline(t *testing.T) {
+	rig := newRig(t, 1, 1)
+	rig.ready()
+	all(rig.plains, func(*http.Request, int) platfk.Reply { return platfk.Reply{Stall: -1} })
+	begin := time.Now()
+	ans := rig.post(rig.nodes[0], "/charge/x", map[string]string{platform.HeaderDeadline: "300"})
+	assert.Equal(t, ans.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(begin) >= 300*time.Millisecond)
+	got := arrived(rig.plains, ans.id)
+	assert.Equal(t, len(got), 1)
+	left := 0
+	_, err := fmt.Sscan(got[0].Header.Get(platform.HeaderDeadline), &left)
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 300, "%d", left)
+}
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -146,7 +146,7 @@
 // send gets a connection and writes the request to it. The returned function
 // ends the watch on ctx and reports whether the connection is still open.
 func (poo *Pool) send(ctx context.Context, exc Exchange) (*conn, func() bool, error) {
-	if len(exc.Req.Host()) == 0 {
+	if len(exc.Req.Header.Host()) == 0 {
 		exc.Req.SetHost(poo.addr)
 	}
 	con := poo.take(exc.Fresh)
