--- a/core/place/form.go
+++ b/core/place/form.go
@@ -64,8 +64,8 @@
 			if len(srvs) < mod.Size {
 				continue
 			}
-			cnd := candidate{model: mod, domain: nam, loads: stp.loadsFor(mod, srvs), ratio: stp.ratio(mod)}
-			if cnd.loads > 0 && !stp.settled(srvs) {
+			cnd := candidate{model: mod, domain: nam, loads: stp.loadsFor(mod, srvs), ratio: stp.ratio(mod), waste: stp.waste(mod, len(free[nam]))}
+			if cnd.loads > 0 && !stp.settled(nam) {
 				continue
 			}
 			if best.model == nil || cnd.before(best) {
@@ -82,13 +82,28 @@
 	domain string
 	loads  int
 	ratio  float64
+	// waste is the number of larger groups that the domain has no room for
+	// any more.
+	waste int
 }
 
 func (cnd candidate) before(oth candidate) bool {
 	if (cnd.loads == 0) != (oth.loads == 0) {
 		return cnd.loads == 0
 	}
-	return cmp.Or(cmp.Compare(cnd.ratio, oth.ratio), cmp.Compare(cnd.loads, oth.loads)) < 0
+	return cmp.Or(cmp.Compare(cnd.ratio, oth.ratio), cmp.Compare(cnd.waste, oth.waste), cmp.Compare(cnd.loads, oth.loads)) < 0
+}
+
+// waste returns how many groups of larger models fit less into the free servers
+// of a domain once a group of the model is formed of them.
+func (stp *step) waste(mod *site.Model, free int) int {
+	num := 0
+	for _, oth := range stp.svc.Engine.Models {
+		if oth.Size > mod.Size {
+			num += free/oth.Size - (free-mod.Size)/oth.Size
+		}
+	}
+	return num
 }
 
 // ratio returns the servers of a model for its part of the work. The lowest
@@ -109,7 +124,7 @@
 // demand returns the work of a model in servers: those that its load keeps
 // busy, or its share while no load is known.
 func (stp *step) demand(mod *site.Model) float64 {
-	if stp.inp.Load == nil {
+	if stp.inp.Load == nil || stp.have[mod.Name] == 0 {
 		return mod.Share
 	}
 	return max(stp.inp.Load[mod.Name], minLoad) * float64(stp.have[mod.Name])
@@ -154,14 +169,14 @@
 	return false
 }
 
-// settled reports whether none of the servers has come just now.
-func (stp *step) settled(srvs []*site.Server) bool {
-	if stp.inp.Calm {
-		return true
+// settled reports whether no server of the domain has come just now.
+func (stp *step) settled(domain string) bool {
+	for id, srv := range stp.inp.View.Servers() {
+		if srv.Domain == domain && stp.inp.Now.Sub(stp.mac.pasts[id].seen) < settleTime {
+			return false
+		}
 	}
-	return !slices.ContainsFunc(srvs, func(srv *site.Server) bool {
-		return stp.inp.Now.Sub(stp.mac.pasts[srv.ID].seen) < settleTime
-	})
+	return true
 }
 
 // loadsFor returns the number of loads that a group of the model needs.
--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -30,7 +30,7 @@
 	// settleTime is the time for which a domain waits for further servers
 	// before loads are begun for a new group: those that come back together
 	// register within about a second, with models on their hosts.
-	settleTime = 1500 * time.Millisecond
+	settleTime = 1200 * time.Millisecond
 	// pastBound is the time for which a server without an entry is remembered:
 	// orders to it may be carried out some 12 s late.
 	pastBound = 40 * time.Second
--- a/core/share/book.go
+++ b/core/share/book.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"kumquathinge/core/site"
@@ -174,10 +175,43 @@
 // Choose returns the least loaded of the servers, with room for one more
 // within limit requests, that isn't among the excluded ones. A server that
 // failed lately comes last. It returns no server if all are full.
+//
+// Where many nodes choose by counts that are a report old, they would all
+// choose the same server; each then looks at two drawn at random first.
 func (boo *Book) Choose(srvs []*site.Server, limit func(*site.Server) int, excluded []string, now time.Time) Choice {
+	if len(boo.peers)+1 > fewNodes && len(srvs) > sampleSize {
+		cho, cost := boo.best(boo.sample(srvs), limit, excluded, now)
+		if cho.Server != nil && cost < avoided {
+			return cho
+		}
+	}
+	boo.turn++
+	cho, _ := boo.best(srvs, limit, excluded, now)
+	return cho
+}
+
+const (
+	// fewNodes is the number of nodes up to which each takes the best server.
+	fewNodes = 6
+	// sampleSize is the number of servers that are looked at by one of many
+	// nodes: two are enough to even out the load.
+	sampleSize = 2
+)
+
+// sample draws servers.
+func (boo *Book) sample(srvs []*site.Server) []*site.Server {
+	one := rand.IntN(len(srvs))
+	two := rand.IntN(len(srvs) - 1)
+	if two >= one {
+		two++
+	}
+	return []*site.Server{srvs[one], srvs[two]}
+}
+
+// best returns the server of the lowest cost and the cost.
+func (boo *Book) best(srvs []*site.Server, limit func(*site.Server) int, excluded []string, now time.Time) (Choice, float64) {
 	var best Choice
 	bestCost := 0.0
-	boo.turn++
 	for pos := range srvs {
 		srv := srvs[(pos+boo.turn)%len(srvs)]
 		if contains(excluded, srv.ID) {
@@ -199,7 +233,7 @@
 			best, bestCost = Choice{Server: srv, Load: lod}, cost
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 // Costs of a choice, as parts of a server's capacity.
--- a/entry/logger.go
+++ b/entry/logger.go
@@ -16,8 +16,8 @@
 	// calls write them.
 	logPause = 50 * time.Millisecond
 	// logBatch is the size at which gathered lines are written at once, in
-	// bytes.
-	logBatch = 64 << 10
+	// bytes: a pipe takes a page whole or not at all.
+	logBatch = 4 << 10
 )
 
 // logWriter hands lines to a task that writes them. It never blocks: a line
@@ -70,11 +70,11 @@
 	for {
 		select {
 		case line := <-wtr.lines:
-			buf = append(buf, line...)
-			if len(buf) >= logBatch {
+			if len(buf)+len(line) > logBatch {
 				wtr.flush(buf)
 				buf = buf[:0]
 			}
+			buf = append(buf, line...)
 		default:
 			return buf
 		}
