--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -48,6 +48,8 @@
 	Table *site.Table
 	// Lost reports whether a server that still has an entry doesn't answer.
 	Lost func(id string) bool
+	// Slow reports whether a server holds its group up; nil if unknown.
+	Slow func(id string) bool
 	// Load is the mean part of the batch that is in use at the groups of a
 	// model, by its name. It is nil until requests have been counted.
 	Load map[string]float64
--- a/core/place/step.go
+++ b/core/place/step.go
@@ -47,9 +47,9 @@
 	return stp.orders
 }
 
-// usable reports whether the server is there to stay.
+// usable reports whether the server is there to stay and as fast as usual.
 func (stp *step) usable(srv *site.Server) bool {
-	return srv != nil && !srv.Draining && !stp.inp.Lost(srv.ID)
+	return srv != nil && !srv.Draining && !stp.inp.Lost(srv.ID) && (stp.inp.Slow == nil || !stp.inp.Slow(srv.ID))
 }
 
 // present reports whether the server answers, leaving or not.
--- a/core/share/book.go
+++ b/core/share/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kumquathinge/core/site"
@@ -29,6 +30,11 @@
 	progress time.Time
 	fails    int
 	avoid    time.Time
+	// gap is the mean time between events of streams, over samples, of the
+	// model.
+	gap     time.Duration
+	samples int
+	model   string
 }
 
 // peer is what another node runs.
@@ -156,6 +162,50 @@
 	return out
 }
 
+const (
+	// gapWeight is the weight of one more time between events in the mean.
+	gapWeight = 0.1
+	// gapSamples is the number of events after which a mean is used.
+	gapSamples = 8
+	// slowFactor is how many times the median of its model a server's mean
+	// must be to be taken as slow: batches differ by less than two times.
+	slowFactor = 2.5
+)
+
+// Gap notes the time between two events of a stream of the model.
+func (boo *Book) Gap(id, model string, gap time.Duration) {
+	ent := boo.entry(id)
+	ent.model = model
+	ent.samples++
+	if ent.samples == 1 {
+		ent.gap = gap
+		return
+	}
+	ent.gap += time.Duration(gapWeight * float64(gap-ent.gap))
+}
+
+// Slow returns the servers whose streams run far slower than those of the
+// other servers of their model.
+func (boo *Book) Slow() []string {
+	gaps := map[string][]time.Duration{}
+	for _, ent := range boo.entries {
+		if ent.samples >= gapSamples && ent.running > 0 {
+			gaps[ent.model] = append(gaps[ent.model], ent.gap)
+		}
+	}
+	for _, all := range gaps {
+		slices.Sort(all)
+	}
+	var out []string
+	for id, ent := range boo.entries {
+		all := gaps[ent.model]
+		if ent.samples >= gapSamples && ent.running > 0 && float64(ent.gap) > slowFactor*float64(all[(len(all)-1)/2]) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // SilentFor returns the time for which a server that runs requests of this
 // node has sent nothing.
 func (boo *Book) SilentFor(id string, now time.Time) time.Duration {
@@ -214,7 +264,7 @@
 	bestCost := 0.0
 	for pos := range srvs {
 		srv := srvs[(pos+boo.turn)%len(srvs)]
-		if contains(excluded, srv.ID) {
+		if slices.Contains(excluded, srv.ID) {
 			continue
 		}
 		lod := boo.Load(srv.ID, now)
@@ -246,12 +296,3 @@
 	// avoided puts a server that failed behind each that didn't.
 	avoided = 10.0
 )
-
-func contains(ids []string, id string) bool {
-	for _, one := range ids {
-		if one == id {
-			return true
-		}
-	}
-	return false
-}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -43,12 +43,17 @@
 	begun bool
 }
 
-// started notes that the server runs the request.
-func (leg *leg) started() {
-	if !leg.begun {
-		leg.begun = true
-		leg.fwd.lod.with(func(boo *share.Book) { boo.Started(leg.srv.ID, leg.cal.prompt) })
-	}
+// event notes an event and the time since the one before it. The first one of
+// an attempt tells that the server runs the request.
+func (leg *leg) event(gap time.Duration) {
+	leg.fwd.lod.with(func(boo *share.Book) {
+		if !leg.begun {
+			boo.Started(leg.srv.ID, leg.cal.prompt)
+		} else if gap > 0 {
+			boo.Gap(leg.srv.ID, leg.cal.model, gap)
+		}
+	})
+	leg.begun = true
 }
 
 // close ends the attempt. The connection is kept if the response was read to
--- a/entry/call.go
+++ b/entry/call.go
@@ -51,14 +51,18 @@
 // touch notes that the server sent something.
 func (cal *call) touch(now time.Time) { cal.progress.Store(int64(now.Sub(cal.begin))) }
 
-// noteEvent notes the time of an event.
-func (cal *call) noteEvent(now time.Time) {
+// noteEvent notes the time of an event and returns that since the last one,
+// zero for the first.
+func (cal *call) noteEvent(now time.Time) time.Duration {
+	gap := time.Duration(0)
 	if cal.lastAt.IsZero() {
 		cal.first = now.Sub(cal.begin)
 	} else {
-		cal.gap = max(cal.gap, now.Sub(cal.lastAt))
+		gap = now.Sub(cal.lastAt)
+		cal.gap = max(cal.gap, gap)
 	}
 	cal.lastAt = now
+	return gap
 }
 
 // silent returns the time since the server sent something or got the request.
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -26,13 +26,13 @@
 	probeBound = 180 * time.Millisecond
 	// probePause is the pause before a group that was probed without finding
 	// a loss is probed again.
-	probePause = 700 * time.Millisecond
+	probePause = time.Second
 	// storeBound is the time for which an answer of the store confirms that no
 	// other node orders. Reads of the nodes' topic come twice within it.
-	storeBound = 2200 * time.Millisecond
+	storeBound = 3 * time.Second
 	// confirmBound is the time after which a VM that stood still goes by the
 	// peers if the store doesn't answer.
-	confirmBound = 3 * time.Second
+	confirmBound = 4 * time.Second
 	// firstPause is the wait before a claim, for the reports of the peers.
 	firstPause = 200 * time.Millisecond
 	// recheckPause is the pause between two probes of a lost server.
@@ -71,11 +71,12 @@
 	measured time.Time
 }
 
-// lostMark is a server that didn't answer, and when it was asked last.
+// lostMark is a server that didn't answer, or answered that it is slow, and
+// when it was asked last.
 type lostMark struct {
 	srv   *site.Server
-	at    time.Time
 	asked time.Time
+	slow  bool
 }
 
 // run orders, or watches the node that does, until ctx ends.
@@ -123,6 +124,7 @@
 		ord.active = true
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": ros.term}).Info("this node orders")
 	}
+	ord.forget()
 	ord.suspect(ctx, now)
 	ord.recheck(ctx, now)
 	ord.order(ctx, now)
@@ -218,7 +220,7 @@
 func (ord *orderer) order(ctx context.Context, now time.Time) {
 	tab := ord.sta.table.Load()
 	ords := ord.mac.Step(place.Input{
-		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: ord.isLost, Load: ord.measure(now), Calm: ord.busy() == 0,
+		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: ord.isLost, Slow: ord.isSlow, Load: ord.measure(now), Calm: ord.busy() == 0,
 	})
 	mac := ord.mac
 	for _, one := range ords {
@@ -283,24 +285,31 @@
 	return sum / float64(len(heads))
 }
 
-// isLost reports whether a server didn't answer and has said nothing since.
-func (ord *orderer) isLost(id string) bool {
+// isLost reports whether a server didn't answer and has not started anew.
+func (ord *orderer) isLost(id string) bool { return ord.marked(id, false) }
+
+// isSlow reports whether a server said that it is slow.
+func (ord *orderer) isSlow(id string) bool { return ord.marked(id, true) }
+
+func (ord *orderer) marked(id string, slow bool) bool {
 	mrk, ok := ord.lost[id]
-	if !ok {
-		return false
-	}
-	srv := ord.sta.view.Load().Server(id)
-	if srv == nil || srv.Born != mrk.srv.Born {
-		delete(ord.lost, id)
-		return false
+	return ok && mrk.slow == slow
+}
+
+// forget drops the marks of servers that are gone or have started anew.
+func (ord *orderer) forget() {
+	vie := ord.sta.view.Load()
+	for id, mrk := range ord.lost {
+		if srv := vie.Server(id); srv == nil || srv.Born != mrk.srv.Born {
+			delete(ord.lost, id)
+		}
 	}
-	return true
 }
 
 // recheck asks the lost servers again.
 func (ord *orderer) recheck(ctx context.Context, now time.Time) {
 	for id, mrk := range ord.lost {
-		if now.Sub(mrk.asked) < recheckPause || !ord.isLost(id) {
+		if now.Sub(mrk.asked) < recheckPause {
 			continue
 		}
 		mrk.asked = now
@@ -312,9 +321,9 @@
 // suspect probes the members of groups whose heads send nothing.
 func (ord *orderer) suspect(ctx context.Context, now time.Time) {
 	var heads []string
-	ord.lod.with(func(boo *share.Book) { heads = boo.Silent(silenceBound, now) })
+	ord.lod.with(func(boo *share.Book) { heads = append(boo.Silent(silenceBound, now), boo.Slow()...) })
 	for _, hrd := range ord.prs.live(now) {
-		heads = append(heads, hrd.beat.Silent...)
+		heads = append(heads, hrd.beat.Suspects...)
 	}
 	vie := ord.sta.view.Load()
 	for _, grp := range vie.Groups() {
@@ -326,7 +335,7 @@
 			continue
 		}
 		ord.probed[hea.ID] = now
-		ord.log.WithFields(logrus.Fields{"event": "group_suspect", "group": grp.Name, "epoch": grp.Epoch, "head": hea.ID}).Warn("head of a group sends nothing; its members are probed")
+		ord.log.WithFields(logrus.Fields{"event": "group_suspect", "group": grp.Name, "epoch": grp.Epoch, "head": hea.ID}).Warn("head of a group sends nothing or little; its members are probed")
 		go ord.probeAll(ctx, grp.Members, 2)
 	}
 }
@@ -334,48 +343,61 @@
 // probeAll asks servers for their reports, up to so many times, and notes the
 // results together: what is lost shows only beside what is still there.
 func (ord *orderer) probeAll(ctx context.Context, srvs []*site.Server, tries int) {
+	reps := make([]site.Report, len(srvs))
 	errs := make([]error, len(srvs))
 	var wgr sync.WaitGroup
 	for idx, srv := range srvs {
 		if srv != nil {
-			wgr.Go(func() { errs[idx] = ord.probe(ctx, srv, tries) })
+			wgr.Go(func() { reps[idx], errs[idx] = ord.probe(ctx, srv, tries) })
 		}
 	}
 	wgr.Wait()
 	ord.done <- func() {
 		for idx, srv := range srvs {
 			if srv != nil {
-				ord.probedOne(srv, errs[idx], time.Now())
+				ord.probedOne(srv, reps[idx], errs[idx], time.Now())
 			}
 		}
 	}
 }
 
 // probe asks a server for its report, again if it is silent.
-func (ord *orderer) probe(ctx context.Context, srv *site.Server, tries int) error {
+func (ord *orderer) probe(ctx context.Context, srv *site.Server, tries int) (site.Report, error) {
 	var err error
 	for range tries {
 		ord.met.probes.Inc()
 		pctx, cancel := context.WithTimeout(ctx, probeBound)
-		_, err = ord.svs.Report(pctx, srv)
+		rep, perr := ord.svs.Report(pctx, srv)
 		cancel()
-		if err == nil {
-			return nil
+		if perr == nil {
+			return rep, nil
 		}
+		err = perr
 	}
-	return err
+	return site.Report{}, err
 }
 
-// probedOne notes whether a server answered.
-func (ord *orderer) probedOne(srv *site.Server, err error, now time.Time) {
-	_, lost := ord.lost[srv.ID]
-	ent := ord.log.WithFields(logrus.Fields{"server": srv.ID, "group": srv.Group.Name, "epoch": srv.Group.Epoch, "error": err})
+const (
+	// slowPace is the pace from which on a member holds its group up so much
+	// that replacing it pays: a repair takes some 2.5 s.
+	slowPace = 1.8
+	// usualPace is the pace below which a slow member is used again.
+	usualPace = 1.3
+)
+
+// probedOne notes whether a server answered, and how fast it is.
+func (ord *orderer) probedOne(srv *site.Server, rep site.Report, err error, now time.Time) {
+	mrk, marked := ord.lost[srv.ID]
+	ent := ord.log.WithFields(logrus.Fields{"server": srv.ID, "group": srv.Group.Name, "epoch": srv.Group.Epoch, "pace": rep.Pace, "error": err})
 	switch {
-	case err == nil && lost:
-		delete(ord.lost, srv.ID)
-		ent.WithField("event", "server_found").Info("server answers again")
-	case err != nil && !lost:
-		ord.lost[srv.ID] = lostMark{srv: srv, at: now, asked: now}
+	case err != nil && (!marked || mrk.slow):
+		ord.lost[srv.ID] = lostMark{srv: srv, asked: now}
 		ent.WithField("event", "server_lost").Warn("server doesn't answer")
+	case err == nil && rep.Pace >= slowPace && (!marked || !mrk.slow):
+		ord.lost[srv.ID] = lostMark{srv: srv, asked: now, slow: true}
+		ent.WithField("event", "server_slow").Warn("server is slow")
+	case err == nil && rep.Pace < usualPace && marked:
+		delete(ord.lost, srv.ID)
+		ent.WithField("event", "server_found").Info("server answers as usual again")
 	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -34,8 +34,9 @@
 	StoreAge time.Duration `cbor:"4,keyasint"`
 	// Running is what the node has at servers.
 	Running map[string]share.Count `cbor:"5,keyasint"`
-	// Silent are the servers that send nothing for the node's requests.
-	Silent []string `cbor:"6,keyasint"`
+	// Suspects are the servers that send nothing for the node's requests, or
+	// far less than others.
+	Suspects []string `cbor:"6,keyasint"`
 	// Stopping nodes do not become orderers.
 	Stopping bool `cbor:"7,keyasint"`
 	// Ends are the offsets to which the node has read the topics.
@@ -187,7 +188,7 @@
 	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now)}
 	prs.lod.with(func(boo *share.Book) {
 		bea.Running = boo.Own()
-		bea.Silent = boo.Silent(silenceBound, now)
+		bea.Suspects = append(boo.Silent(silenceBound, now), boo.Slow()...)
 	})
 	for _, fol := range prs.topics {
 		bea.Ends = append(bea.Ends, fol.next.Load())
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -128,8 +128,7 @@
 	if pos < 0 {
 		return
 	}
-	rel.cal.noteEvent(time.Now())
-	rel.leg.started()
+	rel.leg.event(rel.cal.noteEvent(time.Now()))
 	old := rel.whole
 	rel.whole = from + pos + len(eventEnd)
 	rel.events += bytes.Count(rel.buf[old:rel.whole], eventEnd)
