Keep members without an entry that answer in their groups

Ruled out: silence (no head was suspect in that time). Change: the orderer asks members whose entries went; while they answer they stay members, but not heads.

--- a/core/place/form.go
+++ b/core/place/form.go
@@ -68,7 +68,7 @@
 			if cnd.loads > 0 && !stp.settled(nam) {
 				continue
 			}
-			if best.model == nil || cnd.before(best) {
+			if best.model == nil || cnd.before(best, stp.inp.Calm) {
 				best = cnd
 			}
 		}
@@ -87,8 +87,10 @@
 	waste int
 }
 
-func (cnd candidate) before(oth candidate) bool {
-	if (cnd.loads == 0) != (oth.loads == 0) {
+// before reports whether the candidate goes before another. While loads are
+// cheap, they don't count.
+func (cnd candidate) before(oth candidate, calm bool) bool {
+	if !calm && (cnd.loads == 0) != (oth.loads == 0) {
 		return cnd.loads == 0
 	}
 	return cmp.Or(cmp.Compare(cnd.ratio, oth.ratio), cmp.Compare(cnd.waste, oth.waste), cmp.Compare(cnd.loads, oth.loads)) < 0
@@ -194,6 +196,9 @@
 // that they can stand in for a lost member.
 func (stp *step) stageSpares() {
 	for _, dom := range stp.domains() {
+		if stp.inp.Calm && !stp.settled(dom) {
+			continue
+		}
 		var empty, other []*site.Server
 		staged := map[string]int{}
 		for _, srv := range stp.free(dom) {
--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -48,6 +48,9 @@
 	Table *site.Table
 	// Lost reports whether a server that still has an entry doesn't answer.
 	Lost func(id string) bool
+	// Unlisted reports whether a server has no entry but answers: it may be a
+	// member and not a head, since no requests go to it. Nil stands for none.
+	Unlisted func(id string) bool
 	// Slow reports whether a server holds its group up; nil if unknown.
 	Slow func(id string) bool
 	// Load is the mean part of the batch that is in use at the groups of a
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -37,6 +37,30 @@
 	assert.Equal(t, staged, 4, "spares hold a model")
 }
 
+// TestTrickle lets the servers of six domains register over three seconds
+// before traffic starts: each domain gets one large group and two small ones.
+func TestTrickle(t *testing.T) {
+	for seed := range 10 {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			wor := newWorld(uint64(seed))
+			big, little := modLarge, modSmall
+			big.Size, little.Size, big.Share, little.Share = 12, 6, 0.5, 0.5
+			wor.tab = newTable(big, little)
+			wor.calm = true
+			for num := range 6 {
+				wor.add(fmt.Sprint("d", num), 27)
+			}
+			for _, id := range wor.ids() {
+				wor.hidden[id] = wor.now.Add(time.Duration(wor.rnd.Int64N(int64(3 * time.Second))))
+			}
+			wor.run(place.New(5), 30*time.Second)
+			assert.Equal(t, len(wor.serving(large)), 6)
+			assert.Equal(t, len(wor.serving(small)), 12)
+			wor.check(t)
+		})
+	}
+}
+
 // TestLostMember kills a member of each rank. Its group serves again within
 // 2.5 s of the moment at which the loss is known, under its own name.
 func TestLostMember(t *testing.T) {
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -132,6 +132,9 @@
 		}
 	}
 	mems = append(slices.Clone(mems), spares...)[:sqd.model.Size]
+	if !stp.listed(mems[0]) {
+		return
+	}
 	if slices.ContainsFunc(mems, func(mem *site.Server) bool { return stp.mac.pend[mem.ID] != nil }) || !stp.load(sqd.model, mems) {
 		return
 	}
--- a/core/place/squad.go
+++ b/core/place/squad.go
@@ -27,7 +27,8 @@
 	return sqd.model.Size
 }
 
-// survivors returns the members that stay, the present head first.
+// survivors returns the members that stay, the present head first and those
+// without an entry last.
 func (sqd *squad) survivors(stp *step) []*site.Server {
 	var out []*site.Server
 	if sqd.group != nil {
@@ -42,6 +43,15 @@
 			out = append(out, mem)
 		}
 	}
+	slices.SortStableFunc(out, func(one, two *site.Server) int {
+		if stp.listed(one) == stp.listed(two) {
+			return 0
+		}
+		if stp.listed(one) {
+			return -1
+		}
+		return 1
+	})
 	return out
 }
 
@@ -117,6 +127,9 @@
 		return false
 	}
 	trc := stp.mac.trace(sqd.name)
+	if !stp.listed(grp.Head()) {
+		return false
+	}
 	switch hea := grp.Head(); hea.Group.State {
 	case site.GroupOpen:
 	case site.GroupReady:
--- a/core/place/step.go
+++ b/core/place/step.go
@@ -57,6 +57,12 @@
 	return srv != nil && !stp.inp.Lost(srv.ID)
 }
 
+// listed reports whether the server has an entry, so that requests may go to
+// it.
+func (stp *step) listed(srv *site.Server) bool {
+	return stp.inp.Unlisted == nil || !stp.inp.Unlisted(srv.ID)
+}
+
 // hold keeps servers where they are.
 func (stp *step) hold(srvs ...*site.Server) {
 	for _, srv := range srvs {
@@ -85,7 +91,7 @@
 func (stp *step) free(domain string) []*site.Server {
 	var out []*site.Server
 	for _, srv := range stp.inp.View.Servers() {
-		if srv.Service == stp.svc.Name && srv.Domain == domain && stp.usable(srv) && !stp.held[srv.ID] && stp.mac.pend[srv.ID] == nil {
+		if srv.Service == stp.svc.Name && srv.Domain == domain && stp.usable(srv) && stp.listed(srv) && !stp.held[srv.ID] && stp.mac.pend[srv.ID] == nil {
 			out = append(out, srv)
 		}
 	}
--- a/core/place/world_test.go
+++ b/core/place/world_test.go
@@ -29,9 +29,9 @@
 	modSmall = site.Model{Name: small, Size: 3, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond}
 )
 
-func newTable() *site.Table {
+func newTable(models ...site.Model) *site.Table {
 	return site.NewTable(&site.Config{Version: 1, Services: []site.Service{{
-		Name: "engines", Engine: &site.Engine{Slots: 26, LoadsPerSec: 5.5, LoadsAtOnce: 8, Models: []site.Model{modLarge, modSmall}},
+		Name: "engines", Engine: &site.Engine{Slots: 26, LoadsPerSec: 5.5, LoadsAtOnce: 8, Models: models},
 	}}})
 }
 
@@ -75,6 +75,8 @@
 	// lag is the age of the entries that the orderer sees.
 	lag   time.Duration
 	views []snapshot
+	// calm tells that traffic has not started.
+	calm bool
 	// cut hides the servers of a domain from the orderer, hidden the entries of
 	// single ones until a time.
 	cut    map[string]bool
@@ -92,7 +94,7 @@
 
 func newWorld(seed uint64) *world {
 	return &world{
-		now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1)), tab: newTable(), engines: map[string]*engine{}, cut: map[string]bool{}, hidden: map[string]time.Time{}, lapse: map[string]time.Time{}, away: map[string]time.Time{},
+		now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1)), tab: newTable(modLarge, modSmall), engines: map[string]*engine{}, cut: map[string]bool{}, hidden: map[string]time.Time{}, lapse: map[string]time.Time{}, away: map[string]time.Time{},
 	}
 }
 
@@ -177,7 +179,7 @@
 		pos--
 	}
 	return place.Input{
-		Now: wor.now, View: site.NewView(wor.views[pos].servers, wor.tab), Table: wor.tab,
+		Now: wor.now, View: site.NewView(wor.views[pos].servers, wor.tab), Table: wor.tab, Calm: wor.calm,
 		Lost: func(id string) bool {
 			eng := wor.engines[id]
 			since, away := wor.away[id]
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -69,6 +69,7 @@
 	// load is the mean load of models, measured is when it was looked at.
 	load     map[string]float64
 	measured time.Time
+	gho      ghosts
 }
 
 // lostMark is a server that didn't answer, or answered that it is slow, and
@@ -83,6 +84,7 @@
 func (ord *orderer) run(ctx context.Context) error {
 	ord.lost = map[string]lostMark{}
 	ord.probed = map[string]time.Time{}
+	ord.gho.byID = map[string]*ghost{}
 	ord.done = make(chan func(), 256)
 	tic := time.NewTicker(orderPause)
 	defer tic.Stop()
@@ -124,10 +126,11 @@
 		ord.active = true
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": ros.term}).Info("this node orders")
 	}
-	ord.forget()
-	ord.suspect(ctx, now)
+	vie := ord.overlay(ctx, now)
+	ord.forget(vie)
+	ord.suspect(ctx, vie, now)
 	ord.recheck(ctx, now)
-	ord.order(ctx, now)
+	ord.order(ctx, vie, now)
 }
 
 // pause ends the orders of this node. Its Machine stays, since a term has one
@@ -217,10 +220,10 @@
 }
 
 // order sends the orders that the groups need.
-func (ord *orderer) order(ctx context.Context, now time.Time) {
+func (ord *orderer) order(ctx context.Context, vie *site.View, now time.Time) {
 	tab := ord.sta.table.Load()
 	ords := ord.mac.Step(place.Input{
-		Now: now, View: ord.sta.view.Load(), Table: tab, Lost: ord.isLost, Slow: ord.isSlow, Load: ord.measure(now), Calm: ord.busy() == 0,
+		Now: now, View: vie, Table: tab, Unlisted: ord.unlisted, Lost: ord.isLost, Slow: ord.isSlow, Load: ord.measure(now), Calm: ord.busy() == 0,
 	})
 	mac := ord.mac
 	for _, one := range ords {
@@ -297,8 +300,7 @@
 }
 
 // forget drops the marks of servers that are gone or have started anew.
-func (ord *orderer) forget() {
-	vie := ord.sta.view.Load()
+func (ord *orderer) forget(vie *site.View) {
 	for id, mrk := range ord.lost {
 		if srv := vie.Server(id); srv == nil || srv.Born != mrk.srv.Born {
 			delete(ord.lost, id)
@@ -319,13 +321,12 @@
 }
 
 // suspect probes the members of groups whose heads send nothing.
-func (ord *orderer) suspect(ctx context.Context, now time.Time) {
+func (ord *orderer) suspect(ctx context.Context, vie *site.View, now time.Time) {
 	var heads []string
 	ord.lod.with(func(boo *share.Book) { heads = append(boo.Silent(silenceBound, now), boo.Slow()...) })
 	for _, hrd := range ord.prs.live(now) {
 		heads = append(heads, hrd.beat.Suspects...)
 	}
-	vie := ord.sta.view.Load()
 	for _, grp := range vie.Groups() {
 		hea := grp.Head()
 		if hea == nil || !slices.Contains(heads, hea.ID) || hea.Group.State != site.GroupOpen {
