--- a/entry/follow.go
+++ b/entry/follow.go
@@ -100,7 +100,6 @@
 // asked only if this node has lagged behind for a time.
 func (fol *follower) hint(addr string, end int64, near bool, now time.Time) {
 	if end <= fol.next.Load() {
-		fol.late.Store(0)
 		return
 	}
 	fol.late.CompareAndSwap(0, now.UnixNano())
@@ -119,6 +118,13 @@
 	}
 }
 
+// reach notes how far the topic is read.
+func (fol *follower) reach(end int64) {
+	if fol.next.Swap(end) != end {
+		fol.late.Store(0)
+	}
+}
+
 // take gets what a reader tells. It never blocks.
 func (fol *follower) take(nws news) {
 	select {
@@ -181,7 +187,7 @@
 	}
 	recs = fol.newer(recs)
 	fol.fresh = false
-	fol.next.Store(end)
+	fol.reach(end)
 	fol.apply(change{records: recs, end: end, mirrored: true})
 }
 
@@ -238,7 +244,7 @@
 	chg := change{records: fol.newer(recs)}
 	if end >= fol.next.Load() {
 		chg.gone = fol.missing(seen, end)
-		fol.next.Store(end)
+		fol.reach(end)
 	}
 	chg.end = fol.next.Load()
 	fol.apply(chg)
@@ -265,7 +271,7 @@
 	}
 	// The records go in before the end that peers are told.
 	recs = fol.newer(recs)
-	fol.next.Store(max(next, from))
+	fol.reach(max(next, from))
 	if len(recs) == 0 {
 		return nil
 	}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -110,12 +110,15 @@
 }
 
 // start starts another entry VM.
-func (rig *rig) start() *node {
+func (rig *rig) start() *node { return rig.startIn("z1") }
+
+// startIn starts another entry VM in a zone.
+func (rig *rig) startIn(zone string) *node {
 	rig.tst.Helper()
 	ip := fmt.Sprintf("%s.%d", rig.subnet, len(rig.nodes)+1)
 	nod := &node{gate: rig.sto.NewGate(), done: make(chan error, 1)}
 	nod.set = site.Settings{
-		Node: fmt.Sprintf("n%d", len(rig.nodes)+1), IP: ip, Zone: "z1", Callers: net.JoinHostPort(ip, "18081"), Readiness: net.JoinHostPort(ip, "18082"),
+		Node: fmt.Sprintf("n%d", len(rig.nodes)+1), IP: ip, Zone: zone, Callers: net.JoinHostPort(ip, "18081"), Readiness: net.JoinHostPort(ip, "18082"),
 		Store: nod.gate.Addr(), PeerPort: 18083, StopGrace: grace, DrainBound: 2 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	}
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// TestConfigurationFromOtherZone lets the store answer no node of a zone: its
+// nodes read from those of another one.
+func TestConfigurationFromOtherZone(t *testing.T) {
+	rig := newRig(t, 1, 1)
+	far := []*node{rig.startIn("z2"), rig.startIn("z2"), rig.startIn("z2")}
+	rig.ready()
+	for _, nod := range far {
+		nod.gate.SetFault(func(string, string) platfk.Fault { return platfk.Fault{Silent: true} })
+	}
+	rig.configure(10, route("new"))
+	begin := time.Now()
+	for _, nod := range far {
+		rig.await("new route", func() bool { return rig.get(nod, "/new/x", nil).status == http.StatusOK })
+	}
+	assert.Assert(t, time.Since(begin) < 2*time.Second, "a configuration is in force within 2 s")
+}
+
 // TestDeafReads lets the store forget to tell of records.
 func TestDeafReads(t *testing.T) {
 	rig := newRig(t, 1, 1)
