--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -116,7 +116,8 @@
 		if out == outcomeAnswered {
 			return led, nil
 		}
-		if err := fwd.again(cal, srv, out, err); err != nil {
+		err = fwd.again(cal, srv, out, err)
+		if err != nil {
 			return nil, err
 		}
 	}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -40,6 +41,35 @@
 	}
 }
 
+// TestKeptConnection sends requests one after the other on a connection, with
+// bodies of a stated length, in chunks and without one.
+func TestKeptConnection(t *testing.T) {
+	rig := newRig(t, 1, 1)
+	rig.ready()
+	head := func(method, path, id, more string) string {
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s", method, path, host,
+			platform.HeaderAttempt, id, platform.HeaderKey, key, platform.HeaderModel, model, more)
+	}
+	con, rdr := rig.dial(rig.nodes[0], head("POST", "/charge/1", "id-1", "Content-Length: 4\r\n\r\nbody"))
+	defer func() { _ = con.Close() }()
+	for num, nxt := range []string{
+		head("POST", "/stream/2", "id-2", "Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n\r\n"),
+		head("GET", "/read/3", "id-3", "\r\n"),
+		"",
+	} {
+		res, err := http.ReadResponse(rdr, nil)
+		assert.NilError(t, err)
+		raw, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		assert.Equal(t, res.Header.Get(platform.HeaderAttempt), fmt.Sprint("id-", num+1))
+		assert.Equal(t, string(raw), []string{"answer to id-1", wantEvents(0), "answer to id-3"}[num])
+		_, err = io.WriteString(con, nxt)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, arrived(rig.engines, "id-2")[0].Body, "more")
+}
+
 func TestRejected(t *testing.T) {
 	rig := newRig(t, 1, 1)
 	nod := rig.nodes[0]
