--- a/core/site/view.go
+++ b/core/site/view.go
@@ -41,6 +41,7 @@
 	groups  []*Group
 	plain   map[string][]*Server
 	heads   map[modelKey][]*Server
+	lapsed  map[string]*Server
 }
 
 type modelKey struct {
@@ -81,6 +82,17 @@
 	return vie
 }
 
+// WithLapsed returns the view with servers whose entries went lately.
+func (vie *View) WithLapsed(lapsed map[string]*Server) *View {
+	out := *vie
+	out.lapsed = lapsed
+	return &out
+}
+
+// Lapsed returns the servers whose entries went lately, as they were. The map
+// must not be changed.
+func (vie *View) Lapsed() map[string]*Server { return vie.lapsed }
+
 // Heads returns the heads of the groups that serve a model of a service.
 func (vie *View) Heads(service, model string) []*Server {
 	return vie.heads[modelKey{service: service, model: model}]
--- a/entry/ghosts.go
+++ b/entry/ghosts.go
@@ -36,6 +36,8 @@
 type ghosts struct {
 	last *site.View
 	byID map[string]*ghost
+	// seen are the lapsed servers that were looked at.
+	seen map[string]*site.Server
 }
 
 // overlay returns the view with the members that have no entry.
@@ -63,17 +65,21 @@
 	return site.NewView(all, ord.sta.table.Load())
 }
 
-// noteLapsed notes the members whose entries went since the last view.
+// noteLapsed notes the members whose entries went since the last look.
 func (ord *orderer) noteLapsed(vie *site.View, now time.Time) {
-	if ord.gho.last == nil {
-		return
-	}
-	for id, srv := range ord.gho.last.Servers() {
-		if vie.Server(id) != nil || srv.Group.State == site.GroupNone || srv.Draining || ord.isLost(id) {
+	for id, srv := range vie.Lapsed() {
+		known := ord.gho.seen[id]
+		ord.gho.seen[id] = srv
+		if known == srv || ord.isLost(id) {
 			continue
 		}
 		ord.gho.byID[id] = &ghost{srv: srv, since: now}
 	}
+	for id := range ord.gho.seen {
+		if vie.Lapsed()[id] == nil {
+			delete(ord.gho.seen, id)
+		}
+	}
 }
 
 // askGhost asks a server without an entry for its state.
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -85,6 +85,7 @@
 	ord.lost = map[string]lostMark{}
 	ord.probed = map[string]time.Time{}
 	ord.gho.byID = map[string]*ghost{}
+	ord.gho.seen = map[string]*site.Server{}
 	ord.done = make(chan func(), 256)
 	tic := time.NewTicker(orderPause)
 	defer tic.Stop()
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -27,13 +27,21 @@
 	servers map[string]*site.Server
 	// lapsed are servers whose entries went while the store was away.
 	lapsed map[string]bool
+	// ended are members of groups whose entries went, with the time of that.
+	ended map[string]ended
+}
+
+// ended is a server whose entry went.
+type ended struct {
+	srv *site.Server
+	at  time.Time
 }
 
 func newRegistry(sta *state, hea *health, log *logrus.Logger, met *meter) *registry {
 	return &registry{
 		sta: sta, hea: hea, log: log, met: met,
 		in: make(chan change, 16), tab: make(chan struct{}, 1),
-		servers: map[string]*site.Server{}, lapsed: map[string]bool{},
+		servers: map[string]*site.Server{}, lapsed: map[string]bool{}, ended: map[string]ended{},
 	}
 }
 
@@ -93,6 +101,7 @@
 	old := reg.servers[srv.ID]
 	reg.servers[srv.ID] = srv
 	delete(reg.lapsed, srv.ID)
+	delete(reg.ended, srv.ID)
 	if old != nil && old.Born == srv.Born && old.Draining == srv.Draining && old.Group == srv.Group && old.Addr == srv.Addr {
 		return
 	}
@@ -121,6 +130,9 @@
 	srv := reg.servers[id]
 	delete(reg.servers, id)
 	delete(reg.lapsed, id)
+	if srv.Group.State != site.GroupNone && !srv.Draining {
+		reg.ended[id] = ended{srv: srv, at: time.Now()}
+	}
 	reg.log.WithFields(logrus.Fields{"event": "server_gone", "server": id, "reason": why, "group": srv.Group.Name, "epoch": srv.Group.Epoch}).Info("server is gone")
 }
 
@@ -138,7 +150,15 @@
 }
 
 func (reg *registry) publish() {
-	reg.sta.view.Store(site.NewView(maps.Clone(reg.servers), reg.sta.table.Load()))
+	lapsed := map[string]*site.Server{}
+	for id, one := range reg.ended {
+		if time.Since(one.at) > ghostBound {
+			delete(reg.ended, id)
+			continue
+		}
+		lapsed[id] = one.srv
+	}
+	reg.sta.view.Store(site.NewView(maps.Clone(reg.servers), reg.sta.table.Load()).WithLapsed(lapsed))
 	reg.met.servers.Set(float64(len(reg.servers)))
 	reg.sta.wake()
 }
