Tell peers which servers are lost; tell one request's story from the logs

Change: the orderer's reports name the lost servers and nodes avoid them; each line names its node; kumtrace picks a request's lines out of several logs.

--- /dev/null
+++ b/cmd/kumtrace/main.go
@@ -0,0 +1,66 @@
+// Command kumtrace tells from the logs of several nodes what became of one
+// request: its own lines, and what the nodes believed about its servers.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"kumquathinge/core/story"
+)
+
+type options struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" description:"ID of the request's attempt"`
+		Files []string `positional-arg-name:"FILE" description:"logs of nodes" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func main() {
+	err := mainErr()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func mainErr() error {
+	var opt options
+	_, err := flags.Parse(&opt)
+	var ferr *flags.Error
+	if errors.As(err, &ferr) && ferr.Type == flags.ErrHelp {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var lines []story.Line
+	for _, nam := range opt.Args.Files {
+		some, err := read(nam)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, some...)
+	}
+	told := story.Tell(lines, opt.Args.ID)
+	if len(told) == 0 {
+		return eris.Errorf("no line names request %s", opt.Args.ID)
+	}
+	for _, lin := range told {
+		fmt.Println(lin.Text())
+	}
+	return nil
+}
+
+func read(name string) ([]story.Line, error) {
+	fil, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = fil.Close() }()
+	return story.Read(fil)
+}
--- a/core/share/book.go
+++ b/core/share/book.go
@@ -116,6 +116,13 @@
 	ent.avoid = now.Add(pau)
 }
 
+// Avoid notes that another node takes the server as lost.
+func (boo *Book) Avoid(id string, now time.Time) {
+	ent := boo.entry(id)
+	ent.avoid = now.Add(failPause)
+	ent.fails = max(ent.fails, 1)
+}
+
 // Peer replaces the counts of another node.
 func (boo *Book) Peer(node string, counts map[string]Count, now time.Time) {
 	boo.peers[node] = peer{at: now, counts: counts}
--- a/entry/logger.go
+++ b/entry/logger.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -28,15 +29,35 @@
 	drop  func()
 }
 
-// newLogger returns a logger whose lines go to out through the writer.
-func newLogger(out io.Writer, drop func()) (*logrus.Logger, *logWriter) {
+// newLogger returns a logger of the node whose lines go to out through the
+// writer.
+func newLogger(out io.Writer, node string, drop func()) (*logrus.Logger, *logWriter) {
 	wtr := &logWriter{lines: make(chan []byte, logLines), out: out, drop: drop}
 	log := logrus.New()
 	log.SetOutput(wtr)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	log.SetFormatter(&formatter{
+		text: logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"},
+		tail: []byte(" node=" + node + "\n"),
+	})
 	return log, wtr
 }
 
+// formatter ends each line with the name of the node, so that lines of several
+// nodes can be told apart.
+type formatter struct {
+	text logrus.TextFormatter
+	tail []byte
+}
+
+// Format implements logrus.Formatter.
+func (fmr *formatter) Format(ent *logrus.Entry) ([]byte, error) {
+	out, err := fmr.text.Format(ent)
+	if err != nil {
+		return nil, err
+	}
+	return append(bytes.TrimSuffix(out, []byte("\n")), fmr.tail...), nil
+}
+
 // Write queues one line.
 func (wtr *logWriter) Write(line []byte) (int, error) {
 	cpy := append([]byte(nil), line...)
--- a/entry/node.go
+++ b/entry/node.go
@@ -109,7 +109,7 @@
 		opt.StopNotice = stopNotice
 	}
 	nod.opt = opt
-	nod.log, nod.wtr = newLogger(opt.Log, nod.met.logDropped.Inc)
+	nod.log, nod.wtr = newLogger(opt.Log, set.Node, nod.met.logDropped.Inc)
 	now := time.Now()
 	self := nodeRecord{Node: set.Node, Zone: set.Zone, Addr: net.JoinHostPort(set.IP, itoa(set.PeerPort)), Life: now.UnixNano()}
 	hea := newHealth(now)
@@ -140,6 +140,7 @@
 	follow(platform.TopicServers, followWaitServers, nod.reg.apply)
 	follow(platform.TopicNodes, followWaitNodes, nod.enr.apply)
 	nod.prs.topics = nod.fol
+	nod.prs.lost = nod.ord.lostIDs
 	return nod
 }
 
@@ -187,7 +188,7 @@
 	}
 	grp.Add(func() error { return nod.stop(ctx) }, func(error) {})
 	nod.log.WithFields(logrus.Fields{
-		"event": "start", "node": set.Node, "zone": set.Zone, "callers": set.Callers, "readiness": set.Readiness, "store": set.Store, "peers": nod.prs.self.Addr, "life": nod.prs.self.Life,
+		"event": "start", "zone": set.Zone, "callers": set.Callers, "readiness": set.Readiness, "store": set.Store, "peers": nod.prs.self.Addr, "life": nod.prs.self.Life,
 	}).Info("node started")
 	return grp.Run()
 }
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -70,6 +71,8 @@
 	load     map[string]float64
 	measured time.Time
 	gho      ghosts
+	// told are the lost servers, for the reports to peers.
+	told atomic.Pointer[[]string]
 }
 
 // lostMark is a server that didn't answer, or answered that it is slow, and
@@ -131,6 +134,7 @@
 	ord.forget(vie)
 	ord.suspect(ctx, vie, now)
 	ord.recheck(ctx, now)
+	ord.tell()
 	ord.order(ctx, vie, now)
 }
 
@@ -141,6 +145,7 @@
 		return
 	}
 	ord.active = false
+	ord.told.Store(nil)
 	ord.log.WithFields(logrus.Fields{"event": "orderer_stop", "term": ord.mac.Term(), "reason": why}).Info("this node no longer orders")
 }
 
@@ -309,6 +314,25 @@
 	}
 }
 
+// lostIDs returns the servers that this node takes as lost while it orders.
+func (ord *orderer) lostIDs() []string {
+	if ids := ord.told.Load(); ids != nil {
+		return *ids
+	}
+	return nil
+}
+
+// tell sets the lost servers for the reports to peers.
+func (ord *orderer) tell() {
+	var ids []string
+	for id, mrk := range ord.lost {
+		if !mrk.slow {
+			ids = append(ids, id)
+		}
+	}
+	ord.told.Store(&ids)
+}
+
 // recheck asks the lost servers again.
 func (ord *orderer) recheck(ctx context.Context, now time.Time) {
 	for id, mrk := range ord.lost {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -39,6 +39,8 @@
 	Suspects []string `cbor:"6,keyasint"`
 	// Stopping nodes do not become orderers.
 	Stopping bool `cbor:"7,keyasint"`
+	// Lost are the servers that the orderer takes as lost.
+	Lost []string `cbor:"12,keyasint"`
 	// Ends are the offsets to which the node has read the topics.
 	Ends []int64 `cbor:"8,keyasint"`
 	// Addr is the node's address for peers.
@@ -73,6 +75,8 @@
 	self nodeRecord
 	con  *net.UDPConn
 	stop func() bool
+	// lost returns the servers that this node, as orderer, takes as lost.
+	lost func() []string
 	// topics are the followers of the store's topics.
 	topics []*follower
 
@@ -157,7 +161,12 @@
 			prs.topics[idx].hint(bea.Addr, end, bea.Zone == prs.self.Zone, now)
 		}
 	}
-	prs.lod.with(func(boo *share.Book) { boo.Peer(bea.Node, bea.Running, now) })
+	prs.lod.with(func(boo *share.Book) {
+		boo.Peer(bea.Node, bea.Running, now)
+		for _, id := range bea.Lost {
+			boo.Avoid(id, now)
+		}
+	})
 }
 
 // report sends reports until ctx ends, and notes peers that fall silent.
@@ -185,7 +194,7 @@
 // send sends one report to each node that the store knows.
 func (prs *peers) send(now time.Time) {
 	ros := prs.sta.nodes.Load()
-	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now)}
+	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now), Lost: prs.lost()}
 	prs.lod.with(func(boo *share.Book) {
 		bea.Running = boo.Own()
 		bea.Suspects = append(boo.Silent(silenceBound, now), boo.Slow()...)
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -47,7 +47,7 @@
 		switch {
 		case rec.Key == keyOrderer:
 			nxt.orderer, nxt.term, nxt.since = nod, rec.Offset+1, time.Now()
-			enr.log.WithFields(logrus.Fields{"event": "orderer", "node": nod.Node, "life": nod.Life, "term": nxt.term}).Info("another node orders")
+			enr.log.WithFields(logrus.Fields{"event": "orderer", "orderer": nod.Node, "life": nod.Life, "term": nxt.term}).Info("another node orders")
 		case strings.HasPrefix(rec.Key, keyNodePrefix):
 			nxt.nodes[nod.Node] = nod
 		}
