--- a/core/share/book.go
+++ b/core/share/book.go
@@ -18,6 +18,9 @@
 	// silentBound is the time after which a server that runs requests and
 	// sends nothing is used only if all others are full.
 	silentBound = 300 * time.Millisecond
+	// lostPause is the time for which the orderer's word of a lost server
+	// holds; it repeats it several times within.
+	lostPause = 500 * time.Millisecond
 	// failPauseMax bounds the pause.
 	failPauseMax = 4 * time.Second
 )
@@ -56,12 +59,14 @@
 	zone    string
 	entries map[string]*entry
 	peers   map[string]peer
-	turn    int
+	// lost are the servers that get no requests, until a time.
+	lost map[string]time.Time
+	turn int
 }
 
 // NewBook returns a Book of a node in the zone.
 func NewBook(zone string) *Book {
-	return &Book{zone: zone, entries: map[string]*entry{}, peers: map[string]peer{}}
+	return &Book{zone: zone, entries: map[string]*entry{}, peers: map[string]peer{}, lost: map[string]time.Time{}}
 }
 
 func (boo *Book) entry(id string) *entry {
@@ -116,11 +121,10 @@
 	ent.avoid = now.Add(pau)
 }
 
-// Avoid notes that another node takes the server as lost.
-func (boo *Book) Avoid(id string, now time.Time) {
-	ent := boo.entry(id)
-	ent.avoid = now.Add(failPause)
-	ent.fails = max(ent.fails, 1)
+// Lose notes that the orderer takes the server as lost: it gets no requests
+// until the orderer has not said so for a time.
+func (boo *Book) Lose(id string, now time.Time) {
+	boo.lost[id] = now.Add(lostPause)
 }
 
 // Peer replaces the counts of another node.
@@ -271,7 +275,7 @@
 	bestCost := 0.0
 	for pos := range srvs {
 		srv := srvs[(pos+boo.turn)%len(srvs)]
-		if slices.Contains(excluded, srv.ID) {
+		if slices.Contains(excluded, srv.ID) || now.Before(boo.lost[srv.ID]) {
 			continue
 		}
 		lod := boo.Load(srv.ID, now)
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -134,7 +134,7 @@
 	ord.forget(vie)
 	ord.suspect(ctx, vie, now)
 	ord.recheck(ctx, now)
-	ord.tell()
+	ord.tell(now)
 	ord.order(ctx, vie, now)
 }
 
@@ -322,8 +322,8 @@
 	return nil
 }
 
-// tell sets the lost servers for the reports to peers.
-func (ord *orderer) tell() {
+// tell keeps requests from the lost servers, here and by the reports to peers.
+func (ord *orderer) tell(now time.Time) {
 	var ids []string
 	for id, mrk := range ord.lost {
 		if !mrk.slow {
@@ -331,6 +331,11 @@
 		}
 	}
 	ord.told.Store(&ids)
+	ord.lod.with(func(boo *share.Book) {
+		for _, id := range ids {
+			boo.Lose(id, now)
+		}
+	})
 }
 
 // recheck asks the lost servers again.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -164,7 +164,7 @@
 	prs.lod.with(func(boo *share.Book) {
 		boo.Peer(bea.Node, bea.Running, now)
 		for _, id := range bea.Lost {
-			boo.Avoid(id, now)
+			boo.Lose(id, now)
 		}
 	})
 }
