--- a/entry/node.go
+++ b/entry/node.go
@@ -140,7 +140,7 @@
 	follow(platform.TopicServers, followWaitServers, nod.reg.apply)
 	follow(platform.TopicNodes, followWaitNodes, nod.enr.apply)
 	nod.prs.topics = nod.fol
-	nod.prs.lost = nod.ord.lostIDs
+	nod.prs.lost, nod.prs.orders = nod.ord.lostIDs, nod.ord.active.Load
 	return nod
 }
 
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -60,7 +60,7 @@
 	busy func() int64
 
 	mac     *place.Machine
-	active  bool
+	active  atomic.Bool
 	woke    time.Time
 	lost    map[string]lostMark
 	probed  map[string]time.Time
@@ -126,8 +126,7 @@
 	if ord.mac == nil || ord.mac.Term() != ros.term {
 		ord.mac = place.New(ros.term)
 	}
-	if !ord.active {
-		ord.active = true
+	if !ord.active.Swap(true) {
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": ros.term}).Info("this node orders")
 	}
 	vie := ord.overlay(ctx, now)
@@ -141,10 +140,9 @@
 // pause ends the orders of this node. Its Machine stays, since a term has one
 // only.
 func (ord *orderer) pause(why string) {
-	if !ord.active {
+	if !ord.active.Swap(false) {
 		return
 	}
-	ord.active = false
 	ord.told.Store(nil)
 	ord.log.WithFields(logrus.Fields{"event": "orderer_stop", "term": ord.mac.Term(), "reason": why}).Info("this node no longer orders")
 }
@@ -199,8 +197,8 @@
 	ord.waiting = now
 }
 
-// served reports whether the orderer is there and reaches the store. One of
-// which this node has read just now may not have been heard yet.
+// served reports whether the orderer is there and orders. One of which this
+// node has read just now may not have been heard yet.
 func (ord *orderer) served(ros *roster, now time.Time) bool {
 	if ros.term == 0 {
 		return false
@@ -209,7 +207,10 @@
 	if !ok {
 		return now.Sub(ros.since) < liveBound
 	}
-	return hrd.beat.Life == ros.orderer.Life && hrd.beat.StoreAge < storeBound && !hrd.beat.Stopping
+	if hrd.beat.Life != ros.orderer.Life || hrd.beat.Stopping {
+		return false
+	}
+	return hrd.beat.Orders || now.Sub(ros.since) < liveBound
 }
 
 // rank returns how many live nodes come before this one.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -41,6 +41,8 @@
 	Stopping bool `cbor:"7,keyasint"`
 	// Lost are the servers that the orderer takes as lost.
 	Lost []string `cbor:"12,keyasint"`
+	// Orders tells that the node orders now.
+	Orders bool `cbor:"13,keyasint"`
 	// Ends are the offsets to which the node has read the topics.
 	Ends []int64 `cbor:"8,keyasint"`
 	// Addr is the node's address for peers.
@@ -77,6 +79,8 @@
 	stop func() bool
 	// lost returns the servers that this node, as orderer, takes as lost.
 	lost func() []string
+	// orders reports whether this node orders now.
+	orders func() bool
 	// topics are the followers of the store's topics.
 	topics []*follower
 
@@ -194,7 +198,7 @@
 // send sends one report to each node that the store knows.
 func (prs *peers) send(now time.Time) {
 	ros := prs.sta.nodes.Load()
-	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now), Lost: prs.lost()}
+	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now), Lost: prs.lost(), Orders: prs.orders()}
 	prs.lod.with(func(boo *share.Book) {
 		bea.Running = boo.Own()
 		bea.Suspects = append(boo.Silent(silenceBound, now), boo.Slow()...)
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"testing"
@@ -152,6 +153,30 @@
 	})
 }
 
+// TestOrdererTurnedAway lets the store turn the orderer away: another node takes
+// over soon after the first one gives up.
+func TestOrdererTurnedAway(t *testing.T) {
+	rig := newRig(t, 3, 1)
+	rig.ready()
+	orderer := func() string {
+		var rec struct {
+			Node string `json:"node"`
+		}
+		assert.NilError(t, json.Unmarshal(rig.sto.Value(platform.TopicNodes, "orderer"), &rec))
+		return rec.Node
+	}
+	first := orderer()
+	for _, nod := range rig.nodes {
+		if nod.set.Node == first {
+			nod.gate.SetFault(func(string, string) platfk.Fault { return platfk.Fault{Status: 503} })
+		}
+	}
+	begin := time.Now()
+	rig.await("another orderer", func() bool { return orderer() != first })
+	// The term is confirmed for 3 s, and a change takes a second or two.
+	assert.Assert(t, time.Since(begin) < 5*time.Second, "%v", time.Since(begin))
+}
+
 // TestGracefulStop stops a node while a stream runs: it turns unready at once,
 // and the stream comes whole.
 func TestGracefulStop(t *testing.T) {
