Take out what nothing uses; keep the wire's names out of the daemon's tests

Fields, names and functions of the platform's code that nothing reads, and a gauge that was never set. The configuration that tests write is encoded beside the other stand-ins of the platform.

--- a/core/share/book.go
+++ b/core/share/book.go
@@ -132,9 +132,6 @@
 	boo.peers[node] = peer{at: now, counts: counts}
 }
 
-// Forget drops the counts of another node.
-func (boo *Book) Forget(node string) { delete(boo.peers, node) }
-
 // Own returns what this node has at servers.
 func (boo *Book) Own() map[string]Count {
 	out := make(map[string]Count, len(boo.entries))
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -47,8 +47,6 @@
 	assert.Equal(t, boo.Load("s1", start), share.Count{Running: 1, Waiting: 50})
 	late := start.Add(5 * time.Second)
 	assert.Equal(t, boo.Load("s1", late), share.Count{})
-	boo.Forget("n2")
-	assert.Equal(t, boo.Load("s0", start), share.Count{})
 }
 
 // TestAvoided puts servers that failed or are silent behind the others,
--- a/core/site/server.go
+++ b/core/site/server.go
@@ -59,11 +59,8 @@
 type Report struct {
 	// Server is the entry with what the report says of it.
 	Server *Server
-	// Busy tells that an order is in progress.
-	Busy bool
 	// Pace is over 1 for a server that is slower than usual.
-	Pace            float64
-	Running, Queued int
+	Pace float64
 }
 
 // Record is a record of a keyed topic. A record without a value ends its key.
@@ -142,15 +139,8 @@
 	MemoryBytes int64
 	// StopGrace is the time from the order to stop until the process is ended.
 	StopGrace time.Duration
-	// DrainBound is the time after which a leaving server gets no request.
-	DrainBound time.Duration
-	// StallBound is the time for which work waits for a dead member.
-	StallBound time.Duration
 	// RetryRatio and RetrySlack bound the repeats of all nodes in a
 	// RetryWindow: the ratio to the requests, and a number beyond that.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	// LoadWindow is the time over which loads of weights are counted.
-	LoadWindow     time.Duration
-	RequireFencing bool
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -218,7 +218,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if fol.hea.fail(time.Now()) {
+	if fol.hea.fail() {
 		fol.log.WithFields(logrus.Fields{"event": "dependency_lost", "dependency": "store", "topic": fol.topic, "error": err}).Warn("the store doesn't answer")
 	}
 	fol.pause = min(max(retryPause, 2*fol.pause), retryPauseMax)
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -18,7 +18,6 @@
 	logDropped    *metrics.Counter
 	servers       *metrics.Gauge
 	configVersion *metrics.Gauge
-	serving       *metrics.Gauge
 }
 
 func newMeter() *meter {
@@ -32,7 +31,6 @@
 		logDropped:    set.NewCounter("kumquathinge_log_lines_dropped_total"),
 		servers:       set.NewGauge("kumquathinge_servers", nil),
 		configVersion: set.NewGauge("kumquathinge_configuration_version", nil),
-		serving:       set.NewGauge("kumquathinge_groups_serving", nil),
 	}
 	set.NewGauge("kumquathinge_heap_bytes", func() float64 {
 		var mem runtime.MemStats
--- a/entry/node.go
+++ b/entry/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -111,7 +112,7 @@
 	nod.opt = opt
 	nod.log, nod.wtr = newLogger(opt.Log, set.Node, nod.met.logDropped.Inc)
 	now := time.Now()
-	self := nodeRecord{Node: set.Node, Zone: set.Zone, Addr: net.JoinHostPort(set.IP, itoa(set.PeerPort)), Life: now.UnixNano()}
+	self := nodeRecord{Node: set.Node, Zone: set.Zone, Addr: net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPort)), Life: now.UnixNano()}
 	hea := newHealth(now)
 	sto := platform.NewStore(set.Store)
 	nod.sta = newState()
@@ -214,7 +215,7 @@
 	if nod.opt.MetricsPort == 0 {
 		return nil
 	}
-	lis, err := net.Listen("tcp", net.JoinHostPort(ip, itoa(nod.opt.MetricsPort)))
+	lis, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(nod.opt.MetricsPort)))
 	if err != nil {
 		return eris.Wrap(err, "listening for metrics")
 	}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -119,7 +118,7 @@
 	nod := &node{gate: rig.sto.NewGate(), done: make(chan error, 1)}
 	nod.set = site.Settings{
 		Node: fmt.Sprintf("n%d", len(rig.nodes)+1), IP: ip, Zone: zone, Callers: net.JoinHostPort(ip, "18081"), Readiness: net.JoinHostPort(ip, "18082"),
-		Store: nod.gate.Addr(), PeerPort: 18083, StopGrace: grace, DrainBound: 2 * time.Second,
+		Store: nod.gate.Addr(), PeerPort: 18083, StopGrace: grace,
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -131,28 +130,28 @@
 }
 
 // configure writes a version of the configuration.
-func (rig *rig) configure(version int64, more ...map[string]any) {
+func (rig *rig) configure(version int64, more ...site.Route) {
 	rig.version = version
-	routes := []map[string]any{
-		{"name": "stream", "host": host, "pathPrefix": "/stream/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 400, "gapTargetMs": 250,
-			"service": "engines", "maxAttempts": 2, "resumable": rig.resumable},
-		{"name": "read", "host": host, "pathPrefix": "/read/", "kind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 150, "service": "plain", "maxAttempts": 2},
-		{"name": "charge", "host": host, "pathPrefix": "/charge/", "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 150, "service": "plain", "maxAttempts": 1},
-	}
-	raw, err := json.Marshal(map[string]any{
-		"version": version, "routes": append(routes, more...),
-		"services": []map[string]any{
-			{"name": "engines", "engine": map[string]any{
-				"slots": 8, "loadsPerS": 50, "models": []map[string]any{{"name": model, "size": 2, "share": 1, "pace": 1, "loadS": 0.1, "warmS": 0.1}},
-			}},
-			{"name": "plain"},
-		},
-		"tenants": []map[string]any{{"name": org, "apiKeys": []string{key}}},
-	})
+	stream := route("stream", site.KindStream, "engines")
+	stream.Timeout, stream.Objective, stream.GapObjective, stream.Resumable = 8*time.Second, 400*time.Millisecond, 250*time.Millisecond, rig.resumable
+	charge := route("charge", site.KindOnce, "plain")
+	charge.Timeout, charge.Attempts = 1500*time.Millisecond, 1
+	raw, err := platfk.Document{
+		Version: version, Routes: append([]site.Route{stream, charge, route("read", site.KindIdempotent, "plain")}, more...),
+		Engines: "engines", Plain: "plain", Slots: 8, Model: model, Size: 2, Org: org, Key: key,
+	}.Encode()
 	assert.NilError(rig.tst, err)
 	rig.sto.Put(platform.TopicOperator, platform.KeyConfig, raw)
 }
 
+// route returns a route whose prefix is its name.
+func route(name string, knd site.Kind, service string) site.Route {
+	return site.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Kind: knd, Targets: []site.Target{{Service: service, Weight: 1}},
+		Timeout: 3 * time.Second, Objective: 150 * time.Millisecond, Attempts: 2,
+	}
+}
+
 // await waits for a condition.
 func (rig *rig) await(what string, cond func() bool) {
 	rig.tst.Helper()
--- a/entry/state.go
+++ b/entry/state.go
@@ -90,12 +90,11 @@
 }
 
 // fail notes a call that failed. It reports true at the start of an outage.
-func (hea *health) fail(now time.Time) bool {
+func (hea *health) fail() bool {
 	if !hea.down.CompareAndSwap(false, true) {
 		return false
 	}
 	hea.since.Store(hea.last.Load())
-	_ = now
 	return true
 }
 
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -9,13 +9,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"kumquathinge/core/site"
 	"kumquathinge/platform"
 	"kumquathinge/platform/platfk"
 )
 
-func route(name string) map[string]any {
-	return map[string]any{"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": "idempotent", "timeoutMs": 3000, "service": "plain", "maxAttempts": 2}
-}
+func read(name string) site.Route { return route(name, site.KindIdempotent, "plain") }
 
 // TestConfigurationForward checks that a newer version is taken, and that
 // older and unreadable ones change nothing.
@@ -23,11 +22,11 @@
 	rig := newRig(t, 1, 1)
 	rig.ready()
 	nod := rig.nodes[0]
-	rig.configure(10, route("new"))
+	rig.configure(10, read("new"))
 	rig.await("new route", func() bool { return rig.get(nod, "/new/x", nil).status == http.StatusOK })
 	rig.configure(9)
 	rig.sto.Put(platform.TopicOperator, platform.KeyConfig, []byte("{not json"))
-	rig.configure(11, route("new"), route("newer"))
+	rig.configure(11, read("new"), read("newer"))
 	rig.await("newer route", func() bool { return rig.get(nod, "/newer/x", nil).status == http.StatusOK })
 	assert.Equal(t, rig.get(nod, "/new/x", nil).status, http.StatusOK)
 }
@@ -38,7 +37,7 @@
 		rig := newRig(t, 2, 1)
 		rig.ready()
 		rig.nodes[0].gate.SetFault(func(string, string) platfk.Fault { return fau })
-		rig.configure(10, route("new"))
+		rig.configure(10, read("new"))
 		rig.await("new route", func() bool { return rig.get(rig.nodes[0], "/new/x", nil).status == http.StatusOK })
 	}
 }
@@ -52,7 +51,7 @@
 	for _, nod := range far {
 		nod.gate.SetFault(func(string, string) platfk.Fault { return platfk.Fault{Silent: true} })
 	}
-	rig.configure(10, route("new"))
+	rig.configure(10, read("new"))
 	begin := time.Now()
 	for _, nod := range far {
 		rig.await("new route", func() bool { return rig.get(nod, "/new/x", nil).status == http.StatusOK })
@@ -65,7 +64,7 @@
 	rig := newRig(t, 1, 1)
 	rig.ready()
 	rig.sto.SetDeaf(true)
-	rig.configure(10, route("new"))
+	rig.configure(10, read("new"))
 	begin := time.Now()
 	rig.await("new route", func() bool { return rig.get(rig.nodes[0], "/new/x", nil).status == http.StatusOK })
 	assert.Assert(t, time.Since(begin) < 2*time.Second, "a configuration is in force within 2 s")
@@ -78,7 +77,7 @@
 	fau := platfk.Fault{Status: 503}
 	rig.nodes[0].gate.SetFault(func(string, string) platfk.Fault { return fau })
 	rig.sto.Put(platform.TopicServers, rig.plains[0].ID(), nil)
-	rig.configure(10, route("new"))
+	rig.configure(10, read("new"))
 	rig.sto.Trim(platform.TopicServers)
 	rig.sto.Trim(platform.TopicOperator)
 	rig.sto.Trim(platform.TopicNodes)
@@ -106,7 +105,7 @@
 	rig.await("an outage of a second", func() bool { return time.Since(begin) > time.Second })
 	rig.sto.Put(platform.TopicServers, head.ID(), nil)
 	rig.nodes[0].gate.SetFault(nil)
-	rig.configure(10, route("new"))
+	rig.configure(10, read("new"))
 	rig.await("store back", func() bool { return rig.get(rig.nodes[0], "/new/x", nil).status == http.StatusOK })
 	assert.Equal(t, rig.post(rig.nodes[0], "/stream/x", nil).status, http.StatusOK)
 	rig.sto.Put(platform.TopicServers, head.ID(), raw)
--- a/entry/text.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package entry
-
-import "strconv"
-
-func itoa(num int) string { return strconv.Itoa(num) }
--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -43,10 +43,6 @@
 	}
 }
 
-// Crossed reports whether the connection also brought a response that belongs
-// to another request.
-func (bod *Body) Crossed() bool { return bod.crossed }
-
 // Read reads from the body. It returns io.EOF only after the end that the
 // response's framing states, and an error with core.CodeCutAnswer or
 // core.CodeSilent otherwise.
--- a/io/wire/pools.go
+++ b/io/wire/pools.go
@@ -1,8 +1,6 @@
 package wire
 
-import (
-	"sync"
-)
+import "sync"
 
 // Pools holds a pool for each server by its address. It is safe for
 // concurrent use.
@@ -41,12 +39,3 @@
 		}
 	}
 }
-
-// Drop closes the idle connections of all pools.
-func (pos *Pools) Drop() {
-	pos.mtx.Lock()
-	defer pos.mtx.Unlock()
-	for _, poo := range pos.pool {
-		poo.Drop()
-	}
-}
