End the records of nodes that are gone

Ruled out: that the orderer lost its term (it takes over again under the same one). Change: a node ends its record when it stops as planned; the orderer ends those of nodes that it hasn't heard for 6 s. A node that lives writes its record again.

--- a/entry/node.go
+++ b/entry/node.go
@@ -258,6 +258,7 @@
 		}
 		sleep(context.Background(), stopPoll)
 	}
+	nod.enr.leave(context.Background())
 	nod.log.WithFields(logrus.Fields{"event": "stop", "open": nod.swe.count(), "took": time.Since(begin)}).Info("node stopped")
 	return nil
 }
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -43,6 +43,9 @@
 	sleepBound = 600 * time.Millisecond
 	// rankPause is the time that each node waits for those before it.
 	rankPause = 250 * time.Millisecond
+	// retireTime is the time without a report after which a node's record
+	// ends. VMs that lose power or stand still are mostly back within 5 s.
+	retireTime = 6 * time.Second
 )
 
 // orderer forms the groups while this node is the one to do it.
@@ -71,6 +74,8 @@
 	load     map[string]float64
 	measured time.Time
 	gho      ghosts
+	// unheard are the nodes that have a record and send no reports.
+	unheard map[string]unheardMark
 	// told are the lost servers, for the reports to peers.
 	told atomic.Pointer[[]string]
 }
@@ -83,10 +88,17 @@
 	slow  bool
 }
 
+// unheardMark is the record of a node that sends no reports, and since when.
+type unheardMark struct {
+	record nodeRecord
+	since  time.Time
+}
+
 // run orders, or watches the node that does, until ctx ends.
 func (ord *orderer) run(ctx context.Context) error {
 	ord.lost = map[string]lostMark{}
 	ord.probed = map[string]time.Time{}
+	ord.unheard = map[string]unheardMark{}
 	ord.gho.byID = map[string]*ghost{}
 	ord.gho.seen = map[string]*site.Server{}
 	ord.done = make(chan func(), 256)
@@ -135,6 +147,37 @@
 	ord.recheck(ctx, now)
 	ord.tell(now)
 	ord.order(ctx, vie, now)
+	ord.retire(ctx, ros, now)
+}
+
+// retire ends the records of nodes that are gone, since a node whose record
+// stands must be heard while the store is away. A node that lives writes its
+// record again.
+func (ord *orderer) retire(ctx context.Context, ros *roster, now time.Time) {
+	live := ord.prs.live(now)
+	for nam, rec := range ros.nodes {
+		if _, ok := live[nam]; ok || nam == ord.self.Node {
+			delete(ord.unheard, nam)
+			continue
+		}
+		mrk, ok := ord.unheard[nam]
+		if !ok || mrk.record != rec {
+			ord.unheard[nam] = unheardMark{record: rec, since: now}
+			continue
+		}
+		if now.Sub(mrk.since) < retireTime || ord.hea.age(now) > 0 {
+			continue
+		}
+		ord.unheard[nam] = unheardMark{record: rec, since: now}
+		go ord.end(ctx, rec, now.Sub(mrk.since))
+	}
+}
+
+// end ends the record of a node that hasn't been heard for the time.
+func (ord *orderer) end(ctx context.Context, rec nodeRecord, silent time.Duration) {
+	ord.met.storeCalls.Inc()
+	_, err := ord.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+rec.Node, nil, -1)
+	ord.log.WithFields(logrus.Fields{"event": "node_ended", "node_record": rec.Node, "life": rec.Life, "silent": silent, "error": err}).Info("record of a silent node ended")
 }
 
 // pause ends the orders of this node. Its Machine stays, since a term has one
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,8 @@
 	met  *meter
 	self nodeRecord
 	ros  *roster
+	// left is set when this node's record has ended for good.
+	left atomic.Bool
 }
 
 func newEnroller(sta *state, sto *platform.Store, log *logrus.Logger, met *meter, self nodeRecord) *enroller {
@@ -37,7 +40,14 @@
 	for nam, rec := range enr.ros.nodes {
 		nxt.nodes[nam] = rec
 	}
+	for _, key := range chg.gone {
+		delete(nxt.nodes, strings.TrimPrefix(key, keyNodePrefix))
+	}
 	for _, rec := range chg.records {
+		if len(rec.Value) == 0 {
+			delete(nxt.nodes, strings.TrimPrefix(rec.Key, keyNodePrefix))
+			continue
+		}
 		var nod nodeRecord
 		err := json.Unmarshal(rec.Value, &nod)
 		if err != nil {
@@ -64,7 +74,7 @@
 		return err
 	}
 	for ctx.Err() == nil {
-		if enr.sta.nodes.Load().nodes[enr.self.Node] != enr.self {
+		if !enr.left.Load() && enr.sta.nodes.Load().nodes[enr.self.Node] != enr.self {
 			enr.met.storeCalls.Inc()
 			_, err = enr.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+enr.self.Node, raw, -1)
 			if err != nil {
@@ -76,5 +86,20 @@
 	return nil
 }
 
+// leave ends this node's record when its process ends as planned. If that
+// fails, the orderer ends it later.
+func (enr *enroller) leave(ctx context.Context) {
+	enr.left.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, leaveBound)
+	defer cancel()
+	enr.met.storeCalls.Inc()
+	_, err := enr.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+enr.self.Node, nil, -1)
+	enr.log.WithFields(logrus.Fields{"event": "node_left", "node_record": enr.self.Node, "life": enr.self.Life, "error": err}).Info("record of this node ended")
+}
+
+// leaveBound is the longest wait for the end of this node's record; the store
+// takes some 4 ms.
+const leaveBound = 200 * time.Millisecond
+
 // enrolPause is the pause between two looks at this node's record.
 const enrolPause = 700 * time.Millisecond
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"testing"
@@ -157,21 +156,14 @@
 func TestOrdererTurnedAway(t *testing.T) {
 	rig := newRig(t, 3, 1)
 	rig.ready()
-	orderer := func() string {
-		var rec struct {
-			Node string `json:"node"`
-		}
-		assert.NilError(t, json.Unmarshal(rig.sto.Value(platform.TopicNodes, "orderer"), &rec))
-		return rec.Node
-	}
-	first := orderer()
+	first := rig.orderer()
 	for _, nod := range rig.nodes {
 		if nod.set.Node == first {
 			nod.gate.SetFault(func(string, string) platfk.Fault { return platfk.Fault{Status: 503} })
 		}
 	}
 	begin := time.Now()
-	rig.await("another orderer", func() bool { return orderer() != first })
+	rig.await("another orderer", func() bool { return rig.orderer() != first })
 	// The term is confirmed for 3 s, and a change takes a second or two.
 	assert.Assert(t, time.Since(begin) < 5*time.Second, "%v", time.Since(begin))
 }
