End the process when its requests have ended

Cause: the task that receives reports went on after its socket was closed, as the context it looked at ends with the caller of Run and not with a signal. A node that was told to stop stayed until it was killed at the end of the grace. The logger also wrote its last lines twice. Ruled out: open requests (none were open, event=stop open=0). Change: the task ends with its socket; written lines leave the buffer. Tests: TestSignal and TestLinesOnce failed before.

--- a/entry/logger.go
+++ b/entry/logger.go
@@ -80,8 +80,8 @@
 		case line := <-wtr.lines:
 			buf = append(buf[:0], line...)
 			sleep(ctx, logPause)
-			buf = wtr.gather(buf)
-			wtr.flush(buf)
+			wtr.flush(wtr.gather(buf))
+			buf = buf[:0]
 		}
 	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -124,11 +125,12 @@
 	buf := make([]byte, maxBeat)
 	for ctx.Err() == nil {
 		num, _, err := prs.con.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() == nil {
-				prs.met.peerErrors.Inc()
-				sleep(ctx, beatPause)
-			}
+			prs.met.peerErrors.Inc()
+			sleep(ctx, beatPause)
 			continue
 		}
 		var pkt packet
