Bound the reports of a node to its peers

A report says when the next one comes, so its receiver knows how long to believe it. The counts of all peers are summed when they come, not at each choice. While the store is away the orderer doesn't wait to hear a node that said that it stops.

--- a/core/share/book.go
+++ b/core/share/book.go
@@ -12,6 +12,9 @@
 	// peerBound is the age at which the counts of a peer are no longer used:
 	// several of its reports are missing then.
 	peerBound = 1200 * time.Millisecond
+	// missedReports is the number of reports that a peer which reports seldom
+	// may miss before its counts are no longer used.
+	missedReports = 3
 	// failPause is the first time for which a server that failed gets no
 	// requests while others have room. It doubles with each failure in a row.
 	failPause = 500 * time.Millisecond
@@ -40,9 +43,9 @@
 	model   string
 }
 
-// peer is what another node runs.
+// peer is what another node runs, known until a time.
 type peer struct {
-	at     time.Time
+	until  time.Time
 	counts map[string]Count
 }
 
@@ -59,6 +62,10 @@
 	zone    string
 	entries map[string]*entry
 	peers   map[string]peer
+	// total is the sum of the peers' counts by server, due the time at which
+	// the first of them ends.
+	total map[string]Count
+	due   time.Time
 	// lost are the servers that get no requests, until a time.
 	lost map[string]time.Time
 	turn int
@@ -66,7 +73,7 @@
 
 // NewBook returns a Book of a node in the zone.
 func NewBook(zone string) *Book {
-	return &Book{zone: zone, entries: map[string]*entry{}, peers: map[string]peer{}, lost: map[string]time.Time{}}
+	return &Book{zone: zone, entries: map[string]*entry{}, peers: map[string]peer{}, total: map[string]Count{}, lost: map[string]time.Time{}}
 }
 
 func (boo *Book) entry(id string) *entry {
@@ -122,14 +129,53 @@
 }
 
 // Lose notes that the orderer takes the server as lost: it gets no requests
-// until the orderer has not said so for a time.
-func (boo *Book) Lose(id string, now time.Time) {
-	boo.lost[id] = now.Add(lostPause)
+// until the orderer, which says so again within every, has stopped saying so.
+func (boo *Book) Lose(id string, every time.Duration, now time.Time) {
+	boo.lost[id] = now.Add(max(lostPause, missedReports*every))
 }
 
-// Peer replaces the counts of another node.
-func (boo *Book) Peer(node string, counts map[string]Count, now time.Time) {
-	boo.peers[node] = peer{at: now, counts: counts}
+// Peer replaces the counts of another node, which come again within every.
+func (boo *Book) Peer(node string, counts map[string]Count, every time.Duration, now time.Time) {
+	boo.drop(node)
+	until := now.Add(max(peerBound, missedReports*every))
+	if len(boo.peers) == 0 || until.Before(boo.due) {
+		boo.due = until
+	}
+	boo.peers[node] = peer{until: until, counts: counts}
+	for id, cnt := range counts {
+		sum := boo.total[id]
+		boo.total[id] = Count{Running: sum.Running + cnt.Running, Waiting: sum.Waiting + cnt.Waiting}
+	}
+}
+
+// drop forgets the counts of a peer.
+func (boo *Book) drop(node string) {
+	for id, cnt := range boo.peers[node].counts {
+		sum := boo.total[id]
+		sum = Count{Running: sum.Running - cnt.Running, Waiting: sum.Waiting - cnt.Waiting}
+		if sum == (Count{}) {
+			delete(boo.total, id)
+		} else {
+			boo.total[id] = sum
+		}
+	}
+	delete(boo.peers, node)
+}
+
+// expire forgets the counts of peers that have fallen silent.
+func (boo *Book) expire(now time.Time) {
+	if len(boo.peers) == 0 || now.Before(boo.due) {
+		return
+	}
+	boo.due = time.Time{}
+	for nam, per := range boo.peers {
+		switch {
+		case !now.Before(per.until):
+			boo.drop(nam)
+		case boo.due.IsZero() || per.until.Before(boo.due):
+			boo.due = per.until
+		}
+	}
 }
 
 // Own returns what this node has at servers.
@@ -145,15 +191,11 @@
 
 // Load returns what all nodes that were heard lately have at the server.
 func (boo *Book) Load(id string, now time.Time) Count {
-	var sum Count
+	boo.expire(now)
+	sum := boo.total[id]
 	if ent := boo.entries[id]; ent != nil {
-		sum = Count{Running: ent.running, Waiting: ent.waiting}
-	}
-	for _, per := range boo.peers {
-		if now.Sub(per.at) < peerBound {
-			sum.Running += per.counts[id].Running
-			sum.Waiting += per.counts[id].Waiting
-		}
+		sum.Running += ent.running
+		sum.Waiting += ent.waiting
 	}
 	return sum
 }
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -13,6 +13,9 @@
 
 var start = time.Unix(1000, 0)
 
+// every is the pause between the reports of a peer.
+const every = 120 * time.Millisecond
+
 func servers(num int) []*site.Server {
 	var out []*site.Server
 	for idx := range num {
@@ -41,7 +44,7 @@
 // TestPeers counts the requests of other nodes, while they are heard.
 func TestPeers(t *testing.T) {
 	boo := share.NewBook("z1")
-	boo.Peer("n2", map[string]share.Count{"s0": {Running: 4}, "s1": {Running: 1, Waiting: 50}}, start)
+	boo.Peer("n2", map[string]share.Count{"s0": {Running: 4}, "s1": {Running: 1, Waiting: 50}}, every, start)
 	srvs := servers(2)
 	assert.Equal(t, boo.Choose(srvs, slots, nil, start).Server.ID, "s1")
 	assert.Equal(t, boo.Load("s1", start), share.Count{Running: 1, Waiting: 50})
@@ -49,6 +52,21 @@
 	assert.Equal(t, boo.Load("s1", late), share.Count{})
 }
 
+// TestPeerReplaced counts the newest report of each node once, and reports that
+// come seldom for longer.
+func TestPeerReplaced(t *testing.T) {
+	boo := share.NewBook("z1")
+	for turn := range 5 {
+		now := start.Add(time.Duration(turn) * every)
+		boo.Peer("n2", map[string]share.Count{"s0": {Running: turn, Waiting: 10}}, every, now)
+		boo.Peer("n3", map[string]share.Count{"s0": {Running: 2}}, 2*time.Second, now)
+		assert.Equal(t, boo.Load("s0", now), share.Count{Running: turn + 2, Waiting: 10})
+	}
+	late := start.Add(3 * time.Second)
+	assert.Equal(t, boo.Load("s0", late), share.Count{Running: 2}, "n2 has fallen silent, n3 reports seldom")
+	assert.Equal(t, boo.Load("s0", late.Add(10*time.Second)), share.Count{})
+}
+
 // TestAvoided puts servers that failed or are silent behind the others,
 // and uses them when nothing else is there.
 func TestAvoided(t *testing.T) {
@@ -79,7 +97,7 @@
 func TestLost(t *testing.T) {
 	boo := share.NewBook("z1")
 	srvs := servers(1)
-	boo.Lose("s0", start)
+	boo.Lose("s0", every, start)
 	assert.Assert(t, boo.Choose(srvs, slots, nil, start).Server == nil)
 	assert.Equal(t, boo.Choose(srvs, slots, nil, start.Add(time.Second)).Server.ID, "s0")
 }
@@ -119,7 +137,7 @@
 	for range 300 {
 		boo := share.NewBook("z1")
 		for num := range 30 {
-			boo.Peer(fmt.Sprint("n", num), map[string]share.Count{"s0": {Running: 0}, "s1": {Running: 1}}, start)
+			boo.Peer(fmt.Sprint("n", num), map[string]share.Count{"s0": {Running: 0}, "s1": {Running: 1}}, every, start)
 		}
 		srvs := servers(6)
 		for _, srv := range srvs {
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -154,9 +154,8 @@
 // stands must be heard while the store is away. A node that lives writes its
 // record again.
 func (ord *orderer) retire(ctx context.Context, ros *roster, now time.Time) {
-	live := ord.prs.live(now)
 	for nam, rec := range ros.nodes {
-		if _, ok := live[nam]; ok || nam == ord.self.Node {
+		if _, live := ord.prs.heard(nam, now); live || nam == ord.self.Node {
 			delete(ord.unheard, nam)
 			continue
 		}
@@ -199,16 +198,17 @@
 	if now.Sub(ord.hea.confirmed()) < storeBound {
 		return ""
 	}
-	live := ord.prs.live(now)
-	for nam := range ros.nodes {
-		hrd, ok := live[nam]
+	for nam, rec := range ros.nodes {
+		bea, live := ord.prs.heard(nam, now)
 		switch {
 		case nam == ord.self.Node:
-		case !ok:
+		case !live && bea.Stopping && bea.Life == rec.Life:
+			// A node that stops does not become the orderer.
+		case !live:
 			return "the store doesn't answer and peer " + nam + " isn't heard"
-		case hrd.beat.reaches():
+		case bea.reaches():
 			return "the store answers peer " + nam + " and not this node"
-		case hrd.beat.Term > ros.term:
+		case bea.Term > ros.term:
 			return "peer " + nam + " knows a later orderer"
 		}
 	}
@@ -246,26 +246,24 @@
 	if ros.term == 0 {
 		return false
 	}
-	hrd, ok := ord.prs.live(now)[ros.orderer.Node]
-	if !ok {
+	bea, live := ord.prs.heard(ros.orderer.Node, now)
+	if !live {
 		return now.Sub(ros.since) < liveBound
 	}
-	if hrd.beat.Life != ros.orderer.Life || hrd.beat.Stopping {
+	if bea.Life != ros.orderer.Life || bea.Stopping {
 		return false
 	}
-	return hrd.beat.Orders || now.Sub(ros.since) < liveBound
+	return bea.Orders || now.Sub(ros.since) < liveBound
 }
 
 // rank returns how many live nodes come before this one.
 func (ord *orderer) rank(ros *roster, now time.Time) int {
-	live := ord.prs.live(now)
 	num := 0
-	for nam := range ros.nodes {
-		hrd, ok := live[nam]
-		if ok && nam < ord.self.Node && hrd.beat.reaches() {
+	ord.prs.each(now, func(bea beat) {
+		if _, known := ros.nodes[bea.Node]; known && bea.Node < ord.self.Node && bea.reaches() {
 			num++
 		}
-	}
+	})
 	return num
 }
 
@@ -377,7 +375,7 @@
 	ord.told.Store(&ids)
 	ord.lod.with(func(boo *share.Book) {
 		for _, id := range ids {
-			boo.Lose(id, now)
+			boo.Lose(id, orderPause, now)
 		}
 	})
 }
@@ -398,9 +396,7 @@
 func (ord *orderer) suspect(ctx context.Context, vie *site.View, now time.Time) {
 	var heads []string
 	ord.lod.with(func(boo *share.Book) { heads = append(boo.Silent(silenceBound, now), boo.Slow()...) })
-	for _, hrd := range ord.prs.live(now) {
-		heads = append(heads, hrd.beat.Suspects...)
-	}
+	ord.prs.each(now, func(bea beat) { heads = append(heads, bea.Suspects...) })
 	for _, grp := range vie.Groups() {
 		hea := grp.Head()
 		if hea == nil || !slices.Contains(heads, hea.ID) || hea.Group.State != site.GroupOpen {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -15,47 +15,18 @@
 )
 
 const (
-	// beatPause is the pause between the reports of a node to its peers.
-	beatPause = 120 * time.Millisecond
 	// liveBound is the time after which a peer that isn't heard is taken as
 	// gone: six of its reports are missing.
 	liveBound = 800 * time.Millisecond
+	// liveReports is that number for peers that report more seldom.
+	liveReports = 6
+	// forgetTime is the time after which a peer that isn't heard is forgotten,
+	// longer than any VM stands still.
+	forgetTime = time.Minute
 	// maxBeat is the largest report in bytes.
 	maxBeat = 32 << 10
 )
 
-// beat is what a node tells its peers of itself.
-type beat struct {
-	Node string `cbor:"1,keyasint"`
-	Life int64  `cbor:"2,keyasint"`
-	// Term is the term of the orderer that the node knows.
-	Term int64 `cbor:"3,keyasint"`
-	// StoreAge is the time since the store last answered the node, zero while
-	// it answers.
-	StoreAge time.Duration `cbor:"4,keyasint"`
-	// Running is what the node has at servers.
-	Running map[string]share.Count `cbor:"5,keyasint"`
-	// Suspects are the servers that send nothing for the node's requests, or
-	// far less than others.
-	Suspects []string `cbor:"6,keyasint"`
-	// Stopping nodes do not become orderers.
-	Stopping bool `cbor:"7,keyasint"`
-	// Lost are the servers that the orderer takes as lost.
-	Lost []string `cbor:"12,keyasint"`
-	// Orders tells that the node orders now.
-	Orders bool `cbor:"13,keyasint"`
-	// Ends are the offsets to which the node has read the topics.
-	Ends []int64 `cbor:"8,keyasint"`
-	// Addr is the node's address for peers.
-	Addr string `cbor:"9,keyasint"`
-	Zone string `cbor:"10,keyasint"`
-	// Reader tells that the node asks the store.
-	Reader bool `cbor:"11,keyasint"`
-}
-
-// reaches reports whether the node asks the store and gets answers.
-func (bea beat) reaches() bool { return bea.Reader && bea.StoreAge == 0 && !bea.Stopping }
-
 // packet is what goes from node to node in one datagram.
 type packet struct {
 	Beat *beat `cbor:"1,keyasint"`
@@ -68,6 +39,11 @@
 	at   time.Time
 }
 
+// live reports whether the peer was heard lately, by how often it reports.
+func (hrd heard) live(now time.Time) bool {
+	return now.Sub(hrd.at) < max(liveBound, liveReports*hrd.beat.Every)
+}
+
 // peers exchanges reports with the other nodes in datagrams.
 type peers struct {
 	sta  *state
@@ -89,6 +65,10 @@
 	// nanoseconds.
 	stranded atomic.Int64
 
+	// rota picks the peers that get the next reports. The task that reports
+	// owns it.
+	rota share.Rota
+
 	mtx   sync.Mutex
 	nodes map[string]heard
 }
@@ -107,17 +87,24 @@
 	return err
 }
 
-// live returns the peers that were heard lately.
-func (prs *peers) live(now time.Time) map[string]heard {
+// heard returns the last report of a peer and whether it came lately.
+func (prs *peers) heard(nam string, now time.Time) (beat, bool) {
 	prs.mtx.Lock()
 	defer prs.mtx.Unlock()
-	out := make(map[string]heard, len(prs.nodes))
-	for nam, hrd := range prs.nodes {
-		if now.Sub(hrd.at) < liveBound {
-			out[nam] = hrd
+	hrd, ok := prs.nodes[nam]
+	return hrd.beat, ok && hrd.live(now)
+}
+
+// each calls fun with the reports of the peers that were heard lately. fun
+// must not use prs.
+func (prs *peers) each(now time.Time, fun func(bea beat)) {
+	prs.mtx.Lock()
+	defer prs.mtx.Unlock()
+	for _, hrd := range prs.nodes {
+		if hrd.live(now) {
+			fun(hrd.beat)
 		}
 	}
-	return out
 }
 
 // receive takes reports until the socket closes.
@@ -159,7 +146,7 @@
 	if stale {
 		return
 	}
-	if !known || now.Sub(old.at) >= liveBound || old.beat.Life != bea.Life {
+	if !known || !old.live(now) || old.beat.Life != bea.Life {
 		prs.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": bea.Node, "life": bea.Life, "term": bea.Term}).Info("peer is heard")
 	}
 	for idx, end := range bea.Ends {
@@ -168,58 +155,13 @@
 		}
 	}
 	prs.lod.with(func(boo *share.Book) {
-		boo.Peer(bea.Node, bea.Running, now)
+		boo.Peer(bea.Node, bea.Running, bea.Every, now)
 		for _, id := range bea.Lost {
-			boo.Lose(id, now)
+			boo.Lose(id, bea.Every, now)
 		}
 	})
 }
 
-// report sends reports until ctx ends, and notes peers that fall silent.
-func (prs *peers) report(ctx context.Context) error {
-	lost := map[string]bool{}
-	for ctx.Err() == nil {
-		now := time.Now()
-		prs.send(now)
-		live := prs.live(now)
-		prs.lod.setNodes(len(live) + 1)
-		prs.mtx.Lock()
-		for nam, hrd := range prs.nodes {
-			_, ok := live[nam]
-			if !ok && !lost[nam] {
-				prs.log.WithFields(logrus.Fields{"event": "dependency_lost", "dependency": "peer", "peer": nam, "age": now.Sub(hrd.at)}).Warn("peer isn't heard")
-			}
-			lost[nam] = !ok
-		}
-		prs.mtx.Unlock()
-		sleep(ctx, beatPause)
-	}
-	return nil
-}
-
-// send sends one report to each node that the store knows.
-func (prs *peers) send(now time.Time) {
-	ros := prs.sta.nodes.Load()
-	bea := beat{Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Term: ros.term, StoreAge: prs.hea.age(now), Stopping: prs.stop(), Zone: prs.self.Zone, Reader: prs.reads(now), Lost: prs.lost(), Orders: prs.orders()}
-	prs.lod.with(func(boo *share.Book) {
-		bea.Running = boo.Own()
-		bea.Suspects = append(boo.Silent(silenceBound, now), boo.Slow()...)
-	})
-	for _, fol := range prs.topics {
-		bea.Ends = append(bea.Ends, fol.next.Load())
-	}
-	raw, err := cbor.Marshal(packet{Beat: &bea})
-	if err != nil {
-		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("report can't be encoded")
-		return
-	}
-	for nam, rec := range ros.nodes {
-		if nam != prs.self.Node {
-			prs.post(raw, rec.Addr)
-		}
-	}
-}
-
 // post sends one datagram.
 func (prs *peers) post(raw []byte, addr string) {
 	adr, err := net.ResolveUDPAddr("udp", addr)
@@ -240,24 +182,6 @@
 	}
 }
 
-// tell sends what this node has read to the others of its zone. What is too
-// large for a datagram they fetch when they hear how far this node has read.
-func (prs *peers) tell(nws news) {
-	raw, err := cbor.Marshal(packet{News: &nws})
-	if err != nil {
-		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("news can't be encoded")
-		return
-	}
-	if len(raw) > maxNews {
-		return
-	}
-	for nam, rec := range prs.sta.nodes.Load().nodes {
-		if nam != prs.self.Node && rec.Zone == prs.self.Zone {
-			prs.post(raw, rec.Addr)
-		}
-	}
-}
-
 const (
 	// maxNews is the largest news in bytes: a few datagrams of a link.
 	maxNews = 8 << 10
@@ -276,19 +200,16 @@
 	if ros.term > 0 && ros.orderer == prs.self {
 		return true
 	}
-	rank, reached := 0, false
-	for nam, hrd := range prs.live(now) {
-		reached = reached || hrd.beat.reaches()
-		if hrd.beat.Zone != prs.self.Zone || nam > prs.self.Node || hrd.beat.Stopping {
-			continue
-		}
-		if hrd.beat.reaches() {
-			prs.stranded.Store(0)
-			return false
+	rank, reached, before := 0, false, false
+	prs.each(now, func(bea beat) {
+		reached = reached || bea.reaches()
+		if bea.Zone != prs.self.Zone || bea.Node > prs.self.Node || bea.Stopping {
+			return
 		}
+		before = before || bea.reaches()
 		rank++
-	}
-	if rank < spareReaders {
+	})
+	if !before && rank < spareReaders {
 		return true
 	}
 	if reached {
