Let few nodes ask the store when many start

A node that has just started took itself and others as readers before any answer came, all others of its zone asked that one for all records at once, and none got them within the bound of 0.6 s.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -32,6 +32,14 @@
 	dutyPause = 150 * time.Millisecond
 	// mirrorBound is the longest wait for a peer's records.
 	mirrorBound = 600 * time.Millisecond
+	// mirrorPause is the mean pause after a peer has turned this node away or
+	// didn't answer; a page takes about as long.
+	mirrorPause = 50 * time.Millisecond
+	// gatherPause is added to followPause for each node that this one tells of
+	// changes, beyond gatherNodes: they arrive in fewer and larger parts where
+	// many nodes take them.
+	gatherPause = 800 * time.Microsecond
+	gatherNodes = 12
 )
 
 // change is what a follower read.
@@ -76,8 +84,8 @@
 	apply func(change)
 	// reads reports whether this node asks the store.
 	reads func() bool
-	// tell hands on what was read.
-	tell func(news)
+	// tell hands on what was read and returns the number of nodes that get it.
+	tell func(news) int
 
 	next  atomic.Int64
 	pause time.Duration
@@ -112,6 +120,11 @@
 	if cut != nil {
 		(*cut)()
 	}
+	fol.look()
+}
+
+// look wakes the follower from a pause.
+func (fol *follower) look() {
 	select {
 	case fol.wake <- struct{}{}:
 	default:
@@ -266,8 +279,9 @@
 		}
 		return err
 	}
+	told := 0
 	if len(recs) > 0 {
-		fol.tell(news{Topic: fol.topic, From: from, End: next, Records: toMirror(recs)})
+		told = fol.tell(news{Topic: fol.topic, From: from, End: next, Records: toMirror(recs)})
 	}
 	// The records go in before the end that peers are told.
 	recs = fol.newer(recs)
@@ -276,23 +290,27 @@
 		return nil
 	}
 	fol.apply(change{records: recs, end: fol.next.Load()})
-	sleep(ctx, followPause)
+	sleep(ctx, followPause+time.Duration(max(0, told-gatherNodes))*gatherPause)
 	return nil
 }
 
 // copy reads from a peer that has read further.
 func (fol *follower) copy(ctx context.Context, led *lead) {
-	ctx, cancel := context.WithTimeout(ctx, mirrorBound)
+	fctx, cancel := context.WithTimeout(ctx, mirrorBound)
 	defer cancel()
 	from := fol.next.Load()
-	pag, err := fol.mir.Fetch(ctx, led.addr, mirror.Ask{Topic: fol.topic, From: from})
+	pag, err := fol.mir.Fetch(fctx, led.addr, mirror.Ask{Topic: fol.topic, From: from})
 	fol.log.WithFields(logrus.Fields{
 		"event": "mirror", "topic": fol.topic, "peer": led.addr, "from": from, "end": pag.End, "records": len(pag.Records), "error": err,
 	}).Info("read from a peer that has read further")
 	if err != nil || pag.End <= from {
+		sleep(ctx, mirrorPause/2+rand.N(mirrorPause))
 		return
 	}
 	fol.merge(pag.Records, pag.End)
+	if pag.End < led.end {
+		fol.behind.CompareAndSwap(nil, led)
+	}
 }
 
 func toMirror(recs []site.Record) []mirror.Record {
@@ -342,7 +360,7 @@
 			recs = append(recs, rec)
 		}
 	}
-	return mirror.Page{End: fol.next.Load(), Records: toMirror(recs)}
+	return mirror.Cut(toMirror(recs), fol.next.Load(), mirror.MaxPage)
 }
 
 // mirrors serves the topics of the followers to peers.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -23,8 +23,8 @@
 	// forgetTime is the time after which a peer that isn't heard is forgotten,
 	// longer than any VM stands still.
 	forgetTime = time.Minute
-	// maxBeat is the largest report in bytes.
-	maxBeat = 32 << 10
+	// maxDatagram is the largest report or news in bytes.
+	maxDatagram = 32 << 10
 )
 
 // packet is what goes from node to node in one datagram.
@@ -109,7 +109,7 @@
 
 // receive takes reports until the socket closes.
 func (prs *peers) receive(ctx context.Context) error {
-	buf := make([]byte, maxBeat)
+	buf := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
 		num, _, err := prs.con.ReadFromUDP(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -188,18 +188,36 @@
 	// spareReaders is the number of nodes of a zone that ask the store while
 	// none of them gets an answer.
 	spareReaders = 2
+	// firstRead is the time for which a node that has started goes by the
+	// store's record of its peers, since it may not have heard them yet: two
+	// turns of reports and some delay.
+	firstRead = 400 * time.Millisecond
 	// strandedTime is the time without any node that reaches the store after
 	// which each node asks it.
 	strandedTime = 3 * time.Second
 )
 
 // reads reports whether this node asks the store: it orders, or no node of its
-// zone that comes before it reaches the store.
+// zone that comes before it reaches the store. A node that has just started
+// asks if the store names few nodes before it, so that nodes that start at the
+// same time don't all ask.
 func (prs *peers) reads(now time.Time) bool {
 	ros := prs.sta.nodes.Load()
+	if ros.known.IsZero() {
+		return false
+	}
 	if ros.term > 0 && ros.orderer == prs.self {
 		return true
 	}
+	if now.Sub(ros.known) < firstRead {
+		num := 0
+		for nam, rec := range ros.nodes {
+			if rec.Zone == prs.self.Zone && nam < prs.self.Node {
+				num++
+			}
+		}
+		return num < spareReaders
+	}
 	rank, reached, before := 0, false, false
 	prs.each(now, func(bea beat) {
 		reached = reached || bea.reaches()
--- a/entry/report.go
+++ b/entry/report.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquathinge/core/share"
+	"kumquathinge/io/mirror"
 )
 
 const (
@@ -170,20 +171,31 @@
 	}
 }
 
-// tell sends what this node has read to the others of its zone. What is too
-// large for a datagram they fetch when they hear how far this node has read.
-func (prs *peers) tell(nws news) {
-	raw, err := cbor.Marshal(packet{News: &nws})
-	if err != nil {
-		prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("news can't be encoded")
-		return
-	}
-	if len(raw) > maxNews {
-		return
-	}
+// tell sends what this node has read to the others of its zone, in parts that
+// fit into a datagram each. It returns their number. A node that misses a part
+// fetches the rest when it hears how far this node has read.
+func (prs *peers) tell(nws news) int {
+	var addrs []string
 	for nam, rec := range prs.sta.nodes.Load().nodes {
 		if nam != prs.self.Node && rec.Zone == prs.self.Zone {
-			prs.post(raw, rec.Addr)
+			addrs = append(addrs, rec.Addr)
+		}
+	}
+	for from, recs := nws.From, nws.Records; len(recs) > 0 && len(addrs) > 0; {
+		pag := mirror.Cut(recs, nws.End, maxNews)
+		raw, err := cbor.Marshal(packet{News: &news{Topic: nws.Topic, From: from, End: pag.End, Records: pag.Records}})
+		if err != nil {
+			prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("news can't be encoded")
+			break
+		}
+		if len(raw) > maxDatagram {
+			// One record alone is too large; the others fetch it.
+			break
+		}
+		for _, adr := range addrs {
+			prs.post(raw, adr)
 		}
+		from, recs = pag.End, recs[len(pag.Records):]
 	}
+	return len(addrs)
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -48,8 +48,9 @@
 	term    int64
 	// end is the end of the topic that the roster was read to.
 	end int64
-	// since is the time at which this node read of the orderer.
-	since time.Time
+	// since is the time at which this node read of the orderer, known that of
+	// its first read of the topic.
+	since, known time.Time
 }
 
 // health tells since when the store answers or doesn't.
@@ -104,9 +105,10 @@
 // confirmed returns when the last good read of the nodes' topic was sent.
 func (hea *health) confirmed() time.Time { return hea.start.Add(time.Duration(hea.nodes.Load())) }
 
-// age returns the time since the last answer, zero while none failed since.
+// age returns the time since the last answer, or since the start if there is
+// none. It is zero while no call failed since the answer.
 func (hea *health) age(now time.Time) time.Duration {
-	if !hea.down.Load() {
+	if !hea.down.Load() && hea.last.Load() > 0 {
 		return 0
 	}
 	return now.Sub(hea.start) - time.Duration(hea.last.Load())
