Measure store calls, first events and groups that are down

Test: TestMetrics failed before. The soak kills a process that has not ended within its grace and says so.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -208,7 +208,6 @@
 var errHinted = errors.New("a peer has read further")
 
 func (fol *follower) step(ctx context.Context) error {
-	fol.met.storeCalls.Inc()
 	if fol.fresh {
 		return fol.newest(ctx)
 	}
@@ -227,7 +226,6 @@
 
 // failed notes a failed call and waits, or until a peer knows more.
 func (fol *follower) failed(ctx context.Context, err error) {
-	fol.met.storeErrors.Inc()
 	if ctx.Err() != nil {
 		return
 	}
@@ -246,7 +244,9 @@
 
 // newest reads the newest record of each key.
 func (fol *follower) newest(ctx context.Context) error {
+	sent := time.Now()
 	recs, end, err := fol.sto.Newest(ctx, fol.topic)
+	fol.met.store(storeNewest, sent, err)
 	if err != nil {
 		return err
 	}
@@ -269,10 +269,12 @@
 	from := fol.next.Load()
 	pctx, cut := context.WithCancel(ctx)
 	defer cut()
-	fol.polled.Store(time.Now().UnixNano())
+	sent := time.Now()
+	fol.polled.Store(sent.UnixNano())
 	fol.poll.Store(&cut)
 	recs, next, err := fol.sto.Follow(pctx, fol.topic, from, fol.wait)
 	fol.poll.Store(nil)
+	fol.met.store(storeFollow, sent, err)
 	if err != nil {
 		if pctx.Err() != nil && ctx.Err() == nil {
 			return errHinted
--- a/entry/front.go
+++ b/entry/front.go
@@ -344,6 +344,9 @@
 	cal.cancel(nil)
 	took := time.Since(cal.begin)
 	fro.met.result(cal.route.Kind.String(), status, took.Seconds())
+	if cal.first > 0 {
+		fro.met.first(cal.svc.Name, cal.first)
+	}
 	ent := fro.log.WithFields(logrus.Fields{
 		"event": "request", "request": cal.id, "route": cal.route.Name, "kind": cal.route.Kind, "service": cal.svc.Name, "model": cal.model,
 		"organisation": cal.org, "status": status, "code": core.CodeOf(err), "took": took, "sent": cal.sent.Load(), "tried": len(cal.tried),
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -11,8 +12,6 @@
 // meter holds the counters and histograms of a node.
 type meter struct {
 	set           *metrics.Set
-	storeCalls    *metrics.Counter
-	storeErrors   *metrics.Counter
 	probes        *metrics.Counter
 	peerErrors    *metrics.Counter
 	logDropped    *metrics.Counter
@@ -24,8 +23,6 @@
 	set := metrics.NewSet()
 	met := &meter{
 		set:           set,
-		storeCalls:    set.NewCounter("kumquathinge_store_calls_total"),
-		storeErrors:   set.NewCounter("kumquathinge_store_errors_total"),
 		probes:        set.NewCounter("kumquathinge_probes_total"),
 		peerErrors:    set.NewCounter("kumquathinge_peer_errors_total"),
 		logDropped:    set.NewCounter("kumquathinge_log_lines_dropped_total"),
@@ -46,6 +43,33 @@
 	met.set.GetOrCreateHistogram(fmt.Sprintf("kumquathinge_request_seconds{kind=%q}", kind)).Update(seconds)
 }
 
+// Calls to the store. A read that follows a topic is held back by the store
+// until something changes, so its time tells nothing of the store.
+const (
+	storeFollow = "follow"
+	storeNewest = "newest"
+	storeAppend = "append"
+)
+
+// store counts a call to the store that began at the time, and how long it
+// took.
+func (met *meter) store(call string, began time.Time, err error) {
+	met.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_store_calls_total{call=%q,ok=\"%t\"}", call, err == nil)).Inc()
+	met.set.GetOrCreateHistogram(fmt.Sprintf("kumquathinge_store_call_seconds{call=%q}", call)).Update(time.Since(began).Seconds())
+}
+
+// first notes the time from the arrival of a streamed request to its first
+// event: its wait at entry and server, and the time to read its prompt.
+func (met *meter) first(service string, took time.Duration) {
+	met.set.GetOrCreateHistogram(fmt.Sprintf("kumquathinge_first_event_seconds{service=%q}", service)).Update(took.Seconds())
+}
+
+// down notes the time from the loss of a member, as the orderer found it, until
+// its group serves again.
+func (met *meter) down(model string, took time.Duration) {
+	met.set.GetOrCreateHistogram(fmt.Sprintf("kumquathinge_group_down_seconds{model=%q}", model)).Update(took.Seconds())
+}
+
 // attempt counts an attempt at a service by its outcome.
 func (met *meter) attempt(service string, out outcome) {
 	met.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_attempts_total{service=%q,outcome=%q}", service, out)).Inc()
--- /dev/null
+++ b/entry/metric_test.go
@@ -0,0 +1,48 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/platform/platfk"
+)
+
+// TestMetrics reads the metrics of a node whose only group lost its head.
+func TestMetrics(t *testing.T) {
+	rig := newRig(t, 0, 1)
+	rig.metrics = 18084
+	nod := rig.start()
+	rig.ready()
+	spare := platfk.NewServer(rig.sto, platfk.Config{ID: "e9", Service: "engines", Zone: "z1", Domain: "d0", Events: events})
+	rig.engines = append(rig.engines, spare)
+	rig.heads()[0].Darken()
+	read := func() string {
+		res, err := http.Get("http://" + nod.set.IP + ":18084/metrics")
+		assert.NilError(t, err)
+		defer res.Body.Close()
+		raw, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		return string(raw)
+	}
+	for _, want := range []string{
+		`kumquathinge_store_calls_total{call="append",ok="true"}`,
+		`kumquathinge_store_call_seconds_count{call="newest"}`,
+		`kumquathinge_first_event_seconds_count{service="engines"}`,
+		`kumquathinge_requests_total{kind="idempotent",status="200"}`,
+		`kumquathinge_attempts_total{service="engines",outcome="answered"}`,
+		`kumquathinge_orders_total{kind="join",result="begun"}`,
+		`kumquathinge_group_down_seconds_count{model="` + model + `"}`,
+	} {
+		rig.await(want, func() bool {
+			if strings.Contains(read(), want) {
+				return true
+			}
+			rig.post(nod, "/stream/x", nil)
+			return false
+		})
+	}
+}
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -74,6 +74,8 @@
 	load     map[string]float64
 	measured time.Time
 	gho      ghosts
+	// downs are the groups that lost a member and don't serve yet, by name.
+	downs map[string]down
 	// unheard are the nodes that have a record and send no reports.
 	unheard map[string]unheardMark
 	// told are the lost servers, for the reports to peers.
@@ -98,6 +100,7 @@
 func (ord *orderer) run(ctx context.Context) error {
 	ord.lost = map[string]lostMark{}
 	ord.probed = map[string]time.Time{}
+	ord.downs = map[string]down{}
 	ord.unheard = map[string]unheardMark{}
 	ord.gho.byID = map[string]*ghost{}
 	ord.gho.seen = map[string]*site.Server{}
@@ -143,6 +146,7 @@
 	}
 	vie := ord.overlay(ctx, now)
 	ord.forget(vie)
+	ord.noteBack(vie, now)
 	ord.suspect(ctx, vie, now)
 	ord.recheck(ctx, now)
 	ord.tell(now)
@@ -174,8 +178,9 @@
 
 // end ends the record of a node that hasn't been heard for the time.
 func (ord *orderer) end(ctx context.Context, rec nodeRecord, silent time.Duration) {
-	ord.met.storeCalls.Inc()
+	sent := time.Now()
 	_, err := ord.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+rec.Node, nil, -1)
+	ord.met.store(storeAppend, sent, err)
 	ord.log.WithFields(logrus.Fields{"event": "node_ended", "node_record": rec.Node, "life": rec.Life, "silent": silent, "error": err}).Info("record of a silent node ended")
 }
 
@@ -232,8 +237,8 @@
 		ord.log.WithFields(logrus.Fields{"event": "orderer_encode", "error": err}).Error("record of the orderer can't be encoded")
 		return
 	}
-	ord.met.storeCalls.Inc()
 	off, err := ord.sto.Put(ctx, platform.TopicNodes, keyOrderer, raw, ros.end)
+	ord.met.store(storeAppend, now, err)
 	ord.log.WithFields(logrus.Fields{
 		"event": "orderer_claim", "end": ros.end, "offset": off, "before": ros.orderer.Node, "raced": errors.Is(err, platform.ErrMoved), "error": err,
 	}).Info("this node offers to order")
@@ -463,6 +468,7 @@
 	switch {
 	case err != nil && (!marked || mrk.slow):
 		ord.lost[srv.ID] = lostMark{srv: srv, asked: now}
+		ord.noteDown(srv, now)
 		ent.WithField("event", "server_lost").Warn("server doesn't answer")
 	case err == nil && rep.Pace >= slowPace && (!marked || !mrk.slow):
 		ord.lost[srv.ID] = lostMark{srv: srv, asked: now, slow: true}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -49,6 +49,8 @@
 	// resumable is the property of the stream route.
 	resumable bool
 	subnet    string
+	// metrics is the port of the nodes' metrics, zero for none.
+	metrics int
 }
 
 // node is an entry VM of a rig.
@@ -124,7 +126,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	nod.stop = cancel
 	rig.nodes = append(rig.nodes, nod)
-	dmn := entry.New(entry.Options{Log: logTo, StopNotice: notice}, nod.set)
+	dmn := entry.New(entry.Options{Log: logTo, StopNotice: notice, MetricsPort: rig.metrics}, nod.set)
 	go func() { nod.done <- dmn.Run(ctx) }()
 	return nod
 }
--- a/soak/proc.go
+++ b/soak/proc.go
@@ -32,9 +32,8 @@
 	since, harmed time.Time
 	frozen        bool
 	// told are the signals that end the present process.
-	told   []syscall.Signal
-	toldAt time.Time
-	down   time.Duration
+	told []syscall.Signal
+	down time.Duration
 	log    bytes.Buffer
 	faults []string
 	closed bool
@@ -93,10 +92,9 @@
 		nod.faults = append(nod.faults, fmt.Sprintf("process of %s ended by itself: %v", nod.set.Node, err))
 	case nod.told[len(nod.told)-1] == syscall.SIGTERM && err != nil:
 		nod.faults = append(nod.faults, fmt.Sprintf("process of %s was told to stop and ended with %v", nod.set.Node, err))
-	case nod.told[0] == syscall.SIGTERM && len(nod.told) == 1 && time.Since(nod.toldAt) > nod.set.StopGrace+endSlack:
-		nod.faults = append(nod.faults, fmt.Sprintf("process of %s took %v to stop", nod.set.Node, time.Since(nod.toldAt)))
 	}
 	down := nod.down
+	nod.cmd = nil
 	nod.mtx.Unlock()
 	time.Sleep(down)
 	nod.mtx.Lock()
@@ -117,12 +115,14 @@
 	nod.mtx.Lock()
 	defer nod.mtx.Unlock()
 	nod.harmed = time.Now()
+	if nod.cmd == nil {
+		return
+	}
 	switch sig {
 	case syscall.SIGTERM, syscall.SIGKILL:
-		if len(nod.told) == 0 {
-			nod.toldAt = time.Now()
-		}
 		nod.told, nod.down = append(nod.told, sig), down
+		cmd := nod.cmd
+		time.AfterFunc(nod.set.StopGrace+endSlack, func() { nod.overdue(cmd) })
 	case syscall.SIGSTOP:
 		nod.frozen = true
 	case syscall.SIGCONT:
@@ -132,6 +132,20 @@
 	_ = nod.cmd.Process.Signal(sig)
 }
 
+// overdue kills a process that has not ended within its grace.
+func (nod *Node) overdue(cmd *exec.Cmd) {
+	nod.mtx.Lock()
+	defer nod.mtx.Unlock()
+	if nod.cmd != cmd {
+		return
+	}
+	if !nod.frozen {
+		nod.faults = append(nod.faults, fmt.Sprintf("process of %s has not ended within its grace", nod.set.Node))
+	}
+	nod.told = append(nod.told, syscall.SIGKILL)
+	_ = cmd.Process.Kill()
+}
+
 // steady reports whether the process has run unharmed for a time.
 func (nod *Node) steady(dur time.Duration) bool {
 	nod.mtx.Lock()
@@ -145,7 +159,9 @@
 	nod.mtx.Lock()
 	nod.closed = true
 	nod.told, nod.down = append(nod.told, syscall.SIGKILL), 0
-	_ = nod.cmd.Process.Kill()
+	if nod.cmd != nil {
+		_ = nod.cmd.Process.Kill()
+	}
 	nod.mtx.Unlock()
 	nod.wgr.Wait()
 	nod.prx.Close()
