--- a/soak/proc.go
+++ b/soak/proc.go
@@ -32,8 +32,8 @@
 	since, harmed time.Time
 	frozen        bool
 	// told are the signals that end the present process.
-	told []syscall.Signal
-	down time.Duration
+	told   []syscall.Signal
+	down   time.Duration
 	log    bytes.Buffer
 	faults []string
 	closed bool
