--- a/soak/script.go
+++ b/soak/script.go
@@ -89,6 +89,8 @@
 	// maxGap is the longest pause before the next fault; faults last longer on
 	// average, so that they overlap.
 	maxGap = 900 * time.Millisecond
+	// plannedGap is added to the pauses of planned work.
+	plannedGap = 300 * time.Millisecond
 	// repeatChance is the chance that a fault is of the kind of the one before:
 	// troubles come in series.
 	repeatChance = 0.3
@@ -109,8 +111,7 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(rng.Int64N(int64(maxGap)))
 		if planned {
-			// Work that is planned is not done faster than it takes effect.
-			at += maxGap
+			at += plannedGap
 		}
 		if at > length {
 			return flts, planned
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,9 @@
 	})
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d faults, planned work only %v, %d of %d requests served", seed, len(rep.Script), rep.Planned, rep.Served, rep.Calls)
+	for _, flt := range rep.Script {
+		t.Log(flt)
+	}
 	for _, bro := range rep.Broken {
 		t.Error(bro)
 	}
