Let the members of a large group wait for one that is missing

Its load was taken as low, since prompts that wait did not count. Ruled out: too many loads at a time (they took 13 to 18 s of 12 to 16). Change: free servers that hold the scarcest model and are most of a group of it stay for that group and are no spares; the load of a model counts the prompts that wait, as the choice of a server does. Test: TestSurvivorsKept failed before.

--- a/core/place/form.go
+++ b/core/place/form.go
@@ -21,6 +21,9 @@
 	// reserve is the number of servers of a domain that are kept for losses of
 	// its group of the model that is loaded most.
 	reserve = 2
+	// coreMargin is how many times as loaded as another model a model must be
+	// for the members of a group that misses some to wait for others.
+	coreMargin = 1.2
 	// restageGain is how many times the worth of a spare must grow for another
 	// model to be loaded onto its host.
 	restageGain = 2.5
@@ -144,15 +147,23 @@
 }
 
 // available returns the servers of a domain that a new group of the model may
-// take: a few that hold the scarcest model stay as its spares.
+// take: those that hold the scarcest model stay as its spares, or as the
+// members of its next group.
 func (stp *step) available(mod *site.Model, domain string, srvs []*site.Server) []*site.Server {
 	top := stp.scarcest()
-	if top == nil || top.Name == mod.Name || !stp.serves(top, domain) {
+	if top == nil || top.Name == mod.Name {
 		return srvs
 	}
+	keep := stp.core(top, srvs)
+	if stp.inp.Load[top.Name] < coreMargin*stp.inp.Load[mod.Name] {
+		keep = 0
+	}
+	if keep == 0 && stp.serves(top, domain) {
+		keep = reserve
+	}
 	kept := 0
 	return slices.DeleteFunc(slices.Clone(srvs), func(srv *site.Server) bool {
-		if kept == reserve || stp.rank(top, srv) == rankLoad {
+		if kept == keep || stp.rank(top, srv) == rankLoad {
 			return false
 		}
 		kept++
@@ -160,6 +171,21 @@
 	})
 }
 
+// core returns how many of the free servers of a domain hold the model if they
+// are a group that misses the smaller part of its members, and zero otherwise.
+func (stp *step) core(mod *site.Model, srvs []*site.Server) int {
+	num := 0
+	for _, srv := range srvs {
+		if srv.Has(mod.Name) {
+			num++
+		}
+	}
+	if 2*num < mod.Size {
+		return 0
+	}
+	return min(num, mod.Size)
+}
+
 // serves reports whether a group of the model stands or is formed in a domain.
 func (stp *step) serves(mod *site.Model, domain string) bool {
 	for id := range stp.held {
@@ -213,6 +239,15 @@
 				other = append(other, srv)
 			}
 		}
+		// The members of a group to be formed are no spares.
+		top := stp.scarcest()
+		if top != nil {
+			num := stp.core(top, other)
+			staged[top.Name] = max(0, staged[top.Name]-num)
+			if num > 0 {
+				other = slices.DeleteFunc(other, func(srv *site.Server) bool { return onHost(srv) == top.Name })
+			}
+		}
 		for _, srv := range empty {
 			mod := stp.wanted(dom, staged)
 			stp.stage(srv, mod, staged)
--- a/core/place/machine.go
+++ b/core/place/machine.go
@@ -53,8 +53,9 @@
 	Unlisted func(id string) bool
 	// Slow reports whether a server holds its group up; nil if unknown.
 	Slow func(id string) bool
-	// Load is the mean part of the batch that is in use at the groups of a
-	// model, by its name. It is nil until requests have been counted.
+	// Load is the mean part of the batch that requests take at the groups of a
+	// model, by its name; those that wait count as well. It is nil until requests
+	// have been counted.
 	Load map[string]float64
 	// Calm tells that traffic has not started, so that loads are cheap.
 	Calm bool
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -96,6 +96,32 @@
 	wor.check(t)
 }
 
+// TestSurvivorsKept takes all spares and a member of a large group away. Its
+// members keep the model on their hosts, so that they serve soon after a spare
+// has loaded it.
+func TestSurvivorsKept(t *testing.T) {
+	wor, mac := formed(t, 3)
+	wor.used = map[string]float64{large: 1, small: 0.5}
+	hea := wor.serving(large)[0]
+	for _, id := range wor.ids() {
+		if eng := wor.engines[id]; eng.Domain == hea.Domain && eng.Group.State == site.GroupNone {
+			wor.kill(id)
+		}
+	}
+	wor.run(mac, 5*time.Second)
+	wor.kill(hea.members[3])
+	wor.run(mac, 10*time.Second)
+	for idx, id := range hea.members {
+		if idx != 3 {
+			assert.Assert(t, wor.engines[id].Has(large) && len(wor.engines[id].stages) == 0, "%s holds %v and loads %v", id, wor.engines[id].Staged, wor.engines[id].stages)
+		}
+	}
+	wor.add(hea.Domain, 1)
+	wor.run(mac, modLarge.LoadTime+5*time.Second)
+	assert.Equal(t, len(wor.serving(large)), 2)
+	wor.check(t)
+}
+
 // TestDomainBack takes a whole domain away and brings it back. Its entries come
 // one by one, and other orderers may have taken over meanwhile.
 func TestDomainBack(t *testing.T) {
--- a/core/place/world_test.go
+++ b/core/place/world_test.go
@@ -75,8 +75,9 @@
 	// lag is the age of the entries that the orderer sees.
 	lag   time.Duration
 	views []snapshot
-	// calm tells that traffic has not started.
+	// calm tells that traffic has not started, used is the load of models.
 	calm bool
+	used map[string]float64
 	// cut hides the servers of a domain from the orderer, hidden the entries of
 	// single ones until a time.
 	cut    map[string]bool
@@ -179,7 +180,7 @@
 		pos--
 	}
 	return place.Input{
-		Now: wor.now, View: site.NewView(wor.views[pos].servers, wor.tab), Table: wor.tab, Calm: wor.calm,
+		Now: wor.now, View: site.NewView(wor.views[pos].servers, wor.tab), Table: wor.tab, Calm: wor.calm, Load: wor.used,
 		Lost: func(id string) bool {
 			eng := wor.engines[id]
 			since, away := wor.away[id]
--- a/core/share/book.go
+++ b/core/share/book.go
@@ -57,6 +57,12 @@
 	Waiting int `cbor:"2,keyasint"`
 }
 
+// Part returns the part of a batch of the size that the requests take. Prompts
+// that wait count as well, and the part exceeds one where too many do.
+func (cnt Count) Part(size int) float64 {
+	return float64(cnt.Running)/float64(max(1, size)) + float64(cnt.Waiting)/waitingTokens
+}
+
 // Book counts the requests at the backend servers.
 type Book struct {
 	zone    string
@@ -322,7 +328,7 @@
 		if lod.Running >= lim {
 			continue
 		}
-		cost := float64(lod.Running)/float64(lim) + float64(lod.Waiting)/waitingTokens
+		cost := lod.Part(lim)
 		if srv.Zone != boo.zone {
 			cost += otherZone
 		}
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -302,8 +302,8 @@
 // loadTime is the time over which the load of models is averaged.
 const loadTime = 3 * time.Second
 
-// measure returns the mean part of the batches in use by model, nil while no
-// requests have come.
+// measure returns the mean part of the batches that requests take by model, nil
+// while no requests have come.
 func (ord *orderer) measure(now time.Time) map[string]float64 {
 	if ord.busy() == 0 {
 		return nil
@@ -326,8 +326,8 @@
 	return ord.load
 }
 
-// used returns the mean part of the batch that is in use at the heads, or 1 if
-// there are none.
+// used returns the mean part of the batch that requests take at the heads, or 1
+// if there are none.
 func (ord *orderer) used(svc *site.Service, heads []*site.Server, now time.Time) float64 {
 	if len(heads) == 0 {
 		return 1
@@ -335,7 +335,7 @@
 	sum := 0.0
 	ord.lod.with(func(boo *share.Book) {
 		for _, hea := range heads {
-			sum += float64(boo.Load(hea.ID, now).Running) / float64(max(1, svc.Engine.Slots))
+			sum += boo.Load(hea.ID, now).Part(svc.Engine.Slots)
 		}
 	})
 	return sum / float64(len(heads))
