--- a/soak/proc.go
+++ b/soak/proc.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -90,7 +91,7 @@
 	switch {
 	case len(nod.told) == 0:
 		nod.faults = append(nod.faults, fmt.Sprintf("process of %s ended by itself: %v", nod.set.Node, err))
-	case nod.told[len(nod.told)-1] == syscall.SIGTERM && err != nil:
+	case !slices.Contains(nod.told, syscall.SIGKILL) && err != nil:
 		nod.faults = append(nod.faults, fmt.Sprintf("process of %s was told to stop and ended with %v", nod.set.Node, err))
 	}
 	down := nod.down
