Start each node from the store, and pass news on in large zones

Ruled out: the store as the bound, which sends 500 MB/s. Change: a node that has read nothing yet reads from the store, and from a peer only after 1.5 s or a failed call; a reader tells 12 nodes of its zone, which tell the rest.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -27,6 +27,9 @@
 	// behindTime is the time for which a read must have been held back before
 	// a peer that knows more is asked instead: a slow store needs its time.
 	behindTime = 300 * time.Millisecond
+	// freshTime is that time for a node that has read nothing yet: the store
+	// sends all records faster than a peer, also to many nodes at once.
+	freshTime = 1500 * time.Millisecond
 	// dutyPause is the pause between two looks whether this node reads the
 	// store for its zone.
 	dutyPause = 150 * time.Millisecond
@@ -105,7 +108,8 @@
 }
 
 // hint tells that a peer has read the topic to end. A peer of another zone is
-// asked only if this node has lagged behind for a time.
+// asked only if this node has lagged behind for a time, and any peer by a node
+// that has read nothing yet.
 func (fol *follower) hint(addr string, end int64, near bool, now time.Time) {
 	if end <= fol.next.Load() {
 		return
@@ -113,18 +117,20 @@
 	fol.late.CompareAndSwap(0, now.UnixNano())
 	lag := now.UnixNano() - fol.late.Load()
 	cut := fol.poll.Load()
-	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) || !near && lag < int64(behindTime) {
+	wait := time.Duration(0)
+	switch {
+	case fol.next.Load() == 0 && !fol.hea.down.Load():
+		wait = freshTime
+	case !near:
+		wait = behindTime
+	}
+	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) || lag < int64(wait) {
 		return
 	}
 	fol.behind.Store(&lead{addr: addr, end: end})
 	if cut != nil {
 		(*cut)()
 	}
-	fol.look()
-}
-
-// look wakes the follower from a pause.
-func (fol *follower) look() {
 	select {
 	case fol.wake <- struct{}{}:
 	default:
@@ -153,7 +159,7 @@
 		if led := fol.behind.Swap(nil); led != nil && led.end > fol.next.Load() {
 			fol.copy(ctx, led)
 		}
-		if !fol.reads() {
+		if !fol.fresh && !fol.reads() {
 			fol.listen(ctx)
 			continue
 		}
--- a/entry/node.go
+++ b/entry/node.go
@@ -130,25 +130,16 @@
 	}
 	cfr := &configurer{sta: nod.sta, log: nod.log, met: nod.met, changed: nod.reg.tableChanged}
 	mir := mirror.NewClient(dialBound)
-	duty := func() bool { return nod.prs.reads(time.Now()) }
-	// The nodes' topic is small and tells who reads the others.
-	first := func() bool { return duty() || nod.sta.nodes.Load().known.IsZero() }
-	follow := func(topic string, wait time.Duration, reads func() bool, apply func(change)) {
+	follow := func(topic string, wait time.Duration, apply func(change)) {
 		nod.fol = append(nod.fol, &follower{
 			sto: sto, mir: mir, hea: hea, log: nod.log, met: nod.met, topic: topic, apply: apply, wait: wait,
 			fresh: true, wake: make(chan struct{}, 1), inbox: make(chan news, inboxSize), latest: map[string]site.Record{},
-			reads: reads, tell: nod.prs.tell,
+			reads: func() bool { return nod.prs.reads(time.Now()) }, tell: nod.prs.tell,
 		})
 	}
-	follow(platform.TopicOperator, followWait, duty, cfr.apply)
-	follow(platform.TopicServers, followWaitServers, duty, nod.reg.apply)
-	follow(platform.TopicNodes, followWaitNodes, first, func(chg change) {
-		nod.enr.apply(chg)
-		// Whether this node reads the other topics depends on its peers.
-		for _, fol := range nod.fol {
-			fol.look()
-		}
-	})
+	follow(platform.TopicOperator, followWait, cfr.apply)
+	follow(platform.TopicServers, followWaitServers, nod.reg.apply)
+	follow(platform.TopicNodes, followWaitNodes, nod.enr.apply)
 	nod.prs.topics = nod.fol
 	nod.prs.lost, nod.prs.orders = nod.ord.lostIDs, nod.ord.active.Load
 	return nod
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -31,6 +31,8 @@
 type packet struct {
 	Beat *beat `cbor:"1,keyasint"`
 	News *news `cbor:"2,keyasint"`
+	// Pass are the addresses to which the receiver sends the news on.
+	Pass []string `cbor:"3,keyasint,omitempty"`
 }
 
 // heard is the last report of a peer.
@@ -129,6 +131,7 @@
 			prs.take(*pkt.Beat, time.Now())
 		case pkt.News != nil:
 			prs.pass(*pkt.News)
+			prs.sendNews(*pkt.News, pkt.Pass, nil)
 		}
 	}
 	return nil
@@ -188,36 +191,18 @@
 	// spareReaders is the number of nodes of a zone that ask the store while
 	// none of them gets an answer.
 	spareReaders = 2
-	// firstRead is the time for which a node that has started goes by the
-	// store's record of its peers, since it may not have heard them yet: two
-	// turns of reports and some delay.
-	firstRead = 400 * time.Millisecond
 	// strandedTime is the time without any node that reaches the store after
 	// which each node asks it.
 	strandedTime = 3 * time.Second
 )
 
 // reads reports whether this node asks the store: it orders, or no node of its
-// zone that comes before it reaches the store. A node that has just started
-// asks if the store names few nodes before it, so that nodes that start at the
-// same time don't all ask.
+// zone that comes before it reaches the store.
 func (prs *peers) reads(now time.Time) bool {
 	ros := prs.sta.nodes.Load()
-	if ros.known.IsZero() {
-		return false
-	}
 	if ros.term > 0 && ros.orderer == prs.self {
 		return true
 	}
-	if now.Sub(ros.known) < firstRead {
-		num := 0
-		for nam, rec := range ros.nodes {
-			if rec.Zone == prs.self.Zone && nam < prs.self.Node {
-				num++
-			}
-		}
-		return num < spareReaders
-	}
 	rank, reached, before := 0, false, false
 	prs.each(now, func(bea beat) {
 		reached = reached || bea.reaches()
--- a/entry/report.go
+++ b/entry/report.go
@@ -171,31 +171,54 @@
 	}
 }
 
+// newsFanout is the number of nodes to which a node sends news itself; in
+// larger zones these send them on.
+const newsFanout = 12
+
 // tell sends what this node has read to the others of its zone, in parts that
 // fit into a datagram each. It returns their number. A node that misses a part
 // fetches the rest when it hears how far this node has read.
 func (prs *peers) tell(nws news) int {
-	var addrs []string
-	for nam, rec := range prs.sta.nodes.Load().nodes {
-		if nam != prs.self.Node && rec.Zone == prs.self.Zone {
+	live := map[string]bool{}
+	prs.each(time.Now(), func(bea beat) { live[bea.Node] = true })
+	ros := prs.sta.nodes.Load()
+	var addrs, dark []string
+	for _, nam := range slices.Sorted(maps.Keys(ros.nodes)) {
+		switch rec := ros.nodes[nam]; {
+		case nam == prs.self.Node || rec.Zone != prs.self.Zone:
+		case live[nam]:
 			addrs = append(addrs, rec.Addr)
+		default:
+			dark = append(dark, rec.Addr)
 		}
 	}
+	// Nodes that are not heard send nothing on.
+	addrs = append(addrs, dark...)
+	direct := addrs[:min(newsFanout, len(addrs))]
 	for from, recs := nws.From, nws.Records; len(recs) > 0 && len(addrs) > 0; {
 		pag := mirror.Cut(recs, nws.End, maxNews)
-		raw, err := cbor.Marshal(packet{News: &news{Topic: nws.Topic, From: from, End: pag.End, Records: pag.Records}})
+		prs.sendNews(news{Topic: nws.Topic, From: from, End: pag.End, Records: pag.Records}, direct, addrs[len(direct):])
+		from, recs = pag.End, recs[len(pag.Records):]
+	}
+	return len(addrs)
+}
+
+// sendNews sends news to some addresses and lets each of those send it to a
+// part of the others.
+func (prs *peers) sendNews(nws news, direct, others []string) {
+	part := (len(others) + newsFanout - 1) / newsFanout
+	for _, adr := range direct {
+		pass := others[:min(part, len(others))]
+		others = others[len(pass):]
+		raw, err := cbor.Marshal(packet{News: &nws, Pass: pass})
 		if err != nil {
 			prs.log.WithFields(logrus.Fields{"event": "peer_encode", "error": err}).Error("news can't be encoded")
-			break
+			return
 		}
 		if len(raw) > maxDatagram {
 			// One record alone is too large; the others fetch it.
-			break
-		}
-		for _, adr := range addrs {
-			prs.post(raw, adr)
+			return
 		}
-		from, recs = pag.End, recs[len(pag.Records):]
+		prs.post(raw, adr)
 	}
-	return len(addrs)
 }
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -36,10 +36,7 @@
 
 // apply takes records of the nodes' topic.
 func (enr *enroller) apply(chg change) {
-	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end, since: enr.ros.since, known: enr.ros.known}
-	if nxt.known.IsZero() {
-		nxt.known = time.Now()
-	}
+	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end, since: enr.ros.since}
 	for nam, rec := range enr.ros.nodes {
 		nxt.nodes[nam] = rec
 	}
--- a/entry/state.go
+++ b/entry/state.go
@@ -48,9 +48,8 @@
 	term    int64
 	// end is the end of the topic that the roster was read to.
 	end int64
-	// since is the time at which this node read of the orderer, known that of
-	// its first read of the topic.
-	since, known time.Time
+	// since is the time at which this node read of the orderer.
+	since time.Time
 }
 
 // health tells since when the store answers or doesn't.
