--- a/entry/follow.go
+++ b/entry/follow.go
@@ -27,6 +27,9 @@
 	// behindTime is the time for which a read must have been held back before
 	// a peer that knows more is asked instead: a slow store needs its time.
 	behindTime = 300 * time.Millisecond
+	// freshTime is that time for a node that has read nothing yet: the store
+	// sends all records faster than a peer, also to many nodes at once.
+	freshTime = 1500 * time.Millisecond
 	// dutyPause is the pause between two looks whether this node reads the
 	// store for its zone.
 	dutyPause = 150 * time.Millisecond
@@ -105,7 +108,8 @@
 }
 
 // hint tells that a peer has read the topic to end. A peer of another zone is
-// asked only if this node has lagged behind for a time.
+// asked only if this node has lagged behind for a time, and any peer by a node
+// that has read nothing yet.
 func (fol *follower) hint(addr string, end int64, near bool, now time.Time) {
 	if end <= fol.next.Load() {
 		return
@@ -113,18 +117,20 @@
 	fol.late.CompareAndSwap(0, now.UnixNano())
 	lag := now.UnixNano() - fol.late.Load()
 	cut := fol.poll.Load()
-	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) || !near && lag < int64(behindTime) {
+	wait := time.Duration(0)
+	switch {
+	case fol.next.Load() == 0 && !fol.hea.down.Load():
+		wait = freshTime
+	case !near:
+		wait = behindTime
+	}
+	if cut != nil && now.UnixNano()-fol.polled.Load() < int64(behindTime) || lag < int64(wait) {
 		return
 	}
 	fol.behind.Store(&lead{addr: addr, end: end})
 	if cut != nil {
 		(*cut)()
 	}
-	fol.look()
-}
-
-// look wakes the follower from a pause.
-func (fol *follower) look() {
 	select {
 	case fol.wake <- struct{}{}:
 	default:
@@ -153,7 +159,7 @@
 		if led := fol.behind.Swap(nil); led != nil && led.end > fol.next.Load() {
 			fol.copy(ctx, led)
 		}
-		if !fol.reads() {
+		if !fol.fresh && !fol.reads() {
 			fol.listen(ctx)
 			continue
 		}
@@ -208,7 +214,6 @@
 var errHinted = errors.New("a peer has read further")
 
 func (fol *follower) step(ctx context.Context) error {
-	fol.met.storeCalls.Inc()
 	if fol.fresh {
 		return fol.newest(ctx)
 	}
@@ -227,7 +232,6 @@
 
 // failed notes a failed call and waits, or until a peer knows more.
 func (fol *follower) failed(ctx context.Context, err error) {
-	fol.met.storeErrors.Inc()
 	if ctx.Err() != nil {
 		return
 	}
@@ -246,7 +250,9 @@
 
 // newest reads the newest record of each key.
 func (fol *follower) newest(ctx context.Context) error {
+	sent := time.Now()
 	recs, end, err := fol.sto.Newest(ctx, fol.topic)
+	fol.met.store(storeNewest, sent, err)
 	if err != nil {
 		return err
 	}
@@ -269,10 +275,12 @@
 	from := fol.next.Load()
 	pctx, cut := context.WithCancel(ctx)
 	defer cut()
-	fol.polled.Store(time.Now().UnixNano())
+	sent := time.Now()
+	fol.polled.Store(sent.UnixNano())
 	fol.poll.Store(&cut)
 	recs, next, err := fol.sto.Follow(pctx, fol.topic, from, fol.wait)
 	fol.poll.Store(nil)
+	fol.met.store(storeFollow, sent, err)
 	if err != nil {
 		if pctx.Err() != nil && ctx.Err() == nil {
 			return errHinted
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -36,10 +36,7 @@
 
 // apply takes records of the nodes' topic.
 func (enr *enroller) apply(chg change) {
-	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end, since: enr.ros.since, known: enr.ros.known}
-	if nxt.known.IsZero() {
-		nxt.known = time.Now()
-	}
+	nxt := &roster{nodes: make(map[string]nodeRecord, len(enr.ros.nodes)), orderer: enr.ros.orderer, term: enr.ros.term, end: chg.end, since: enr.ros.since}
 	for nam, rec := range enr.ros.nodes {
 		nxt.nodes[nam] = rec
 	}
@@ -78,8 +75,9 @@
 	}
 	for ctx.Err() == nil {
 		if !enr.left.Load() && enr.sta.nodes.Load().nodes[enr.self.Node] != enr.self {
-			enr.met.storeCalls.Inc()
+			sent := time.Now()
 			_, err = enr.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+enr.self.Node, raw, -1)
+			enr.met.store(storeAppend, sent, err)
 			if err != nil {
 				enr.log.WithFields(logrus.Fields{"event": "enrol_failed", "error": err}).Warn("record of this node was not written")
 			}
@@ -95,8 +93,9 @@
 	enr.left.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, leaveBound)
 	defer cancel()
-	enr.met.storeCalls.Inc()
+	sent := time.Now()
 	_, err := enr.sto.Put(ctx, platform.TopicNodes, keyNodePrefix+enr.self.Node, nil, -1)
+	enr.met.store(storeAppend, sent, err)
 	enr.log.WithFields(logrus.Fields{"event": "node_left", "node_record": enr.self.Node, "life": enr.self.Life, "error": err}).Info("record of this node ended")
 }
 
