--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -221,13 +221,18 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			trouble(t, seed)
+			trouble(t, seed, nil)
+		})
+		t.Run(fmt.Sprint("uneven,seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			trouble(t, seed, map[string]float64{large: 1, small: 0.2})
 		})
 	}
 }
 
-func trouble(t *testing.T, seed uint64) {
+func trouble(t *testing.T, seed uint64, used map[string]float64) {
 	wor := newWorld(seed)
+	wor.used = used
 	wor.add("d0", 11)
 	wor.add("d1", 11)
 	wor.add("d2", 12)
--- a/core/place/world_test.go
+++ b/core/place/world_test.go
@@ -180,7 +180,7 @@
 		pos--
 	}
 	return place.Input{
-		Now: wor.now, View: site.NewView(wor.views[pos].servers, wor.tab), Table: wor.tab, Calm: wor.calm, Load: wor.used,
+		Now: wor.now, View: site.NewView(wor.views[pos].servers, wor.tab), Table: wor.tab, Calm: wor.calm, Load: wor.load(),
 		Lost: func(id string) bool {
 			eng := wor.engines[id]
 			since, away := wor.away[id]
@@ -189,6 +189,18 @@
 	}
 }
 
+// load returns the load of the models, nil if none is known. One without a group
+// is full.
+func (wor *world) load() map[string]float64 {
+	out := maps.Clone(wor.used)
+	for mod := range out {
+		if len(wor.serving(mod)) == 0 {
+			out[mod] = 1
+		}
+	}
+	return out
+}
+
 // sever cuts a domain off: its entries lapse one by one.
 func (wor *world) sever(domain string) {
 	wor.cut[domain] = true
@@ -260,13 +272,13 @@
 	case site.OrderStage:
 		mod := wor.tab.Model(ord.Model)
 		eng.stages[mod.Name] = wor.now.Add(mod.LoadTime)
-		wor.load()
+		wor.noteLoad()
 		return site.OrderBegun
 	}
 	return site.OrderDone
 }
 
-func (wor *world) load() { wor.loads = append(wor.loads, wor.now) }
+func (wor *world) noteLoad() { wor.loads = append(wor.loads, wor.now) }
 
 func (wor *world) join(eng *engine, ord site.Order) site.OrderResult {
 	if ord.Epoch < eng.epoch || ord.Epoch == eng.epoch && !slices.Equal(ord.Members, eng.members) {
@@ -290,7 +302,7 @@
 	case eng.stages[mod.Name].After(wor.now):
 		took = eng.stages[mod.Name].Sub(wor.now) + mod.WarmTime
 	default:
-		wor.load()
+		wor.noteLoad()
 	}
 	eng.epoch = ord.Epoch
 	eng.members = ord.Members
