Open groups through an outage of the store

Ruled out: that the orderer was missing (it ordered all the while, but for gaps of 0.3 s). Change: the orderer asks the servers that it gave orders for their state while the store doesn't answer and 3 s after, takes it in place of the older entry, and tells the peers in its reports. Tests: TestStoppedNodeInOutage and TestGoneNodeInOutage now ask for a stream that is served in the outage; both failed before.

--- a/entry/node.go
+++ b/entry/node.go
@@ -126,7 +126,7 @@
 	nod.enr = newEnroller(nod.sta, sto, nod.log, nod.met, self)
 	nod.ord = &orderer{
 		sta: nod.sta, hea: hea, sto: sto, svs: platform.NewServers(nod.poo), prs: nod.prs, lod: lod,
-		log: nod.log, met: nod.met, self: self, stop: nod.fro.leaving.Load, busy: nod.fro.arrived.Load,
+		log: nod.log, met: nod.met, self: self, reg: nod.reg, stop: nod.fro.leaving.Load, busy: nod.fro.arrived.Load,
 	}
 	cfr := &configurer{sta: nod.sta, log: nod.log, met: nod.met, changed: nod.reg.tableChanged}
 	mir := mirror.NewClient(dialBound)
@@ -141,7 +141,8 @@
 	follow(platform.TopicServers, followWaitServers, nod.reg.apply)
 	follow(platform.TopicNodes, followWaitNodes, nod.enr.apply)
 	nod.prs.topics = nod.fol
-	nod.prs.lost, nod.prs.orders = nod.ord.lostIDs, nod.ord.active.Load
+	nod.prs.lost, nod.prs.orders, nod.prs.moved = nod.ord.lostIDs, nod.ord.active.Load, nod.ord.movedList
+	nod.prs.reg = nod.reg
 	return nod
 }
 
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -76,6 +76,11 @@
 	gho      ghosts
 	// downs are the groups that lost a member and don't serve yet, by name.
 	downs map[string]down
+	// watched are the servers that were given orders lately, movedNow what is
+	// told of them.
+	reg      *registry
+	watched  map[string]*watched
+	movedNow atomic.Pointer[[]moved]
 	// unheard are the nodes that have a record and send no reports.
 	unheard map[string]unheardMark
 	// told are the lost servers, for the reports to peers.
@@ -100,6 +105,7 @@
 func (ord *orderer) run(ctx context.Context) error {
 	ord.lost = map[string]lostMark{}
 	ord.probed = map[string]time.Time{}
+	ord.watched = map[string]*watched{}
 	ord.downs = map[string]down{}
 	ord.unheard = map[string]unheardMark{}
 	ord.gho.byID = map[string]*ghost{}
@@ -144,6 +150,7 @@
 	if !ord.active.Swap(true) {
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": ros.term}).Info("this node orders")
 	}
+	ord.follow(ctx, now)
 	vie := ord.overlay(ctx, now)
 	ord.forget(vie)
 	ord.noteBack(vie, now)
@@ -280,6 +287,7 @@
 	})
 	mac := ord.mac
 	for _, one := range ords {
+		ord.watch(one.Server, now)
 		go func() {
 			res, err := ord.send(ctx, one)
 			ord.done <- func() { mac.Answer(one, res, time.Now()) }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -60,6 +60,10 @@
 	lost func() []string
 	// orders reports whether this node orders now.
 	orders func() bool
+	// moved returns what this node, as orderer, knows of servers while the store
+	// is away, and reg takes what another one tells.
+	moved func() []moved
+	reg   *registry
 	// topics are the followers of the store's topics.
 	topics []*follower
 
@@ -152,6 +156,9 @@
 	if !known || !old.live(now) || old.beat.Life != bea.Life {
 		prs.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": bea.Node, "life": bea.Life, "term": bea.Term}).Info("peer is heard")
 	}
+	if bea.Orders && len(bea.Moved) > 0 {
+		prs.reg.tell(bea.Moved)
+	}
 	for idx, end := range bea.Ends {
 		if idx < len(prs.topics) {
 			prs.topics[idx].hint(bea.Addr, end, bea.Zone == prs.self.Zone, now)
--- a/entry/report.go
+++ b/entry/report.go
@@ -47,6 +47,9 @@
 	// Addr is the node's address for peers.
 	Addr string `cbor:"9,keyasint"`
 	Zone string `cbor:"10,keyasint"`
+	// Moved are the states of servers that the orderer knows from their own
+	// reports while the store doesn't answer.
+	Moved []moved `cbor:"15,keyasint,omitempty"`
 	// Every is the longest time until the node reports to the receiver again.
 	Every time.Duration `cbor:"14,keyasint"`
 	// Reader tells that the node asks the store.
@@ -120,7 +123,7 @@
 func (prs *peers) describe(now time.Time) beat {
 	bea := beat{
 		Node: prs.self.Node, Addr: prs.self.Addr, Life: prs.self.Life, Zone: prs.self.Zone, Term: prs.sta.nodes.Load().term, StoreAge: prs.hea.age(now),
-		Stopping: prs.stop(), Reader: prs.reads(now), Lost: prs.lost(), Orders: prs.orders(),
+		Stopping: prs.stop(), Reader: prs.reads(now), Lost: prs.lost(), Orders: prs.orders(), Moved: prs.moved(),
 	}
 	prs.lod.with(func(boo *share.Book) {
 		bea.Running = boo.Own()
--- a/entry/roster_test.go
+++ b/entry/roster_test.go
@@ -30,7 +30,7 @@
 }
 
 // repaired takes the head of the only group away while the store answers no
-// node, and waits until a spare is told to join.
+// node, and waits until a spare is told to join and the group serves again.
 func (rig *rig) repaired() {
 	rig.tst.Helper()
 	spare := platfk.NewServer(rig.sto, platfk.Config{ID: "e9", Service: "engines", Zone: "z1", Domain: "d0", Events: events})
@@ -42,6 +42,10 @@
 		rig.post(rig.nodes[len(rig.nodes)-1], "/stream/x", nil)
 		return slices.Contains(spare.Orders(), "join")
 	})
+	rig.await("served stream during the outage", func() bool {
+		ans := rig.post(rig.nodes[len(rig.nodes)-1], "/stream/x", nil)
+		return ans.status == http.StatusOK && ans.whole
+	})
 }
 
 // TestStoppedNodeInOutage stops a node as planned before an outage of the
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -29,6 +29,10 @@
 	lapsed map[string]bool
 	// ended are members of groups whose entries went, with the time of that.
 	ended map[string]ended
+	// moved are states of servers that the orderer told while the store was
+	// away.
+	moved   map[string]movedMark
+	movedIn chan []moved
 }
 
 // ended is a server whose entry went.
@@ -42,6 +46,7 @@
 		sta: sta, hea: hea, log: log, met: met,
 		in: make(chan change, 16), tab: make(chan struct{}, 1),
 		servers: map[string]*site.Server{}, lapsed: map[string]bool{}, ended: map[string]ended{},
+		moved: map[string]movedMark{}, movedIn: make(chan []moved, 8),
 	}
 }
 
@@ -66,11 +71,18 @@
 		case chg := <-reg.in:
 			reg.take(chg, time.Now())
 		case <-reg.tab:
+		case list := <-reg.movedIn:
+			if !reg.noteMoved(list, time.Now()) {
+				continue
+			}
 		case <-timer:
 			reg.expire(time.Now())
 		}
 		timer = nil
-		if len(reg.lapsed) > 0 {
+		switch {
+		case len(reg.moved) > 0:
+			timer = time.After(movedBound)
+		case len(reg.lapsed) > 0:
 			timer = time.After(max(0, lapseGrace-reg.hea.sinceBack(time.Now())))
 		}
 		reg.publish()
@@ -158,7 +170,9 @@
 		}
 		lapsed[id] = one.srv
 	}
-	reg.sta.view.Store(site.NewView(maps.Clone(reg.servers), reg.sta.table.Load()).WithLapsed(lapsed))
+	servers := maps.Clone(reg.servers)
+	reg.overlay(servers, time.Now())
+	reg.sta.view.Store(site.NewView(servers, reg.sta.table.Load()).WithLapsed(lapsed))
 	reg.met.servers.Set(float64(len(reg.servers)))
 	reg.sta.wake()
 }
