--- a/entry/moved.go
+++ b/entry/moved.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// follow asks the servers that were given orders for their state while the
+// askOrdered asks the servers that were given orders for their state while the
 // store doesn't answer, and tells the registry and the peers.
-func (ord *orderer) follow(ctx context.Context, now time.Time) {
+func (ord *orderer) askOrdered(ctx context.Context, now time.Time) {
 	away := ord.hea.age(now) > 0 || ord.hea.sinceBack(now) < movedKeep
 	var list []moved
 	for id, wat := range ord.watched {
