Let only the largest model's members wait

Where the small model was loaded more, its two free servers of a domain counted as a group that misses one: they were kept from the repair of a large group, which was dissolved and its members told to load the small model. Change: only members of a group of the largest model wait; spares that are kept for new groups may replace members. Test: TestSpareOfOtherModel failed before.

--- a/core/place/form.go
+++ b/core/place/form.go
@@ -154,13 +154,35 @@
 	if top == nil || top.Name == mod.Name {
 		return srvs
 	}
-	keep := stp.core(top, srvs)
-	if stp.inp.Load[top.Name] < coreMargin*stp.inp.Load[mod.Name] {
-		keep = 0
-	}
+	keep := stp.waiting(top, mod, srvs)
 	if keep == 0 && stp.serves(top, domain) {
 		keep = reserve
 	}
+	return stp.without(top, keep, srvs)
+}
+
+// lent returns the servers of a domain that may replace members of a group of
+// the model: the members of a group of the scarcest model that is to be formed
+// stay.
+func (stp *step) lent(mod *site.Model, srvs []*site.Server) []*site.Server {
+	top := stp.scarcest()
+	if top == nil || top.Name == mod.Name {
+		return srvs
+	}
+	return stp.without(top, stp.waiting(top, mod, srvs), srvs)
+}
+
+// waiting returns how many of the servers wait for others to form a group of
+// the scarcest model, if it is loaded that much more than the other one.
+func (stp *step) waiting(top, mod *site.Model, srvs []*site.Server) int {
+	if stp.inp.Load[top.Name] < coreMargin*stp.inp.Load[mod.Name] {
+		return 0
+	}
+	return stp.core(top, srvs)
+}
+
+// without leaves out up to keep servers that hold the model.
+func (stp *step) without(top *site.Model, keep int, srvs []*site.Server) []*site.Server {
 	kept := 0
 	return slices.DeleteFunc(slices.Clone(srvs), func(srv *site.Server) bool {
 		if kept == keep || stp.rank(top, srv) == rankLoad {
@@ -173,7 +195,13 @@
 
 // core returns how many of the free servers of a domain hold the model if they
 // are a group that misses the smaller part of its members, and zero otherwise.
+// Only groups of the largest model are hard to bring together.
 func (stp *step) core(mod *site.Model, srvs []*site.Server) int {
+	for _, oth := range stp.svc.Engine.Models {
+		if oth.Name != mod.Name && oth.Size >= mod.Size {
+			return 0
+		}
+	}
 	num := 0
 	for _, srv := range srvs {
 		if srv.Has(mod.Name) {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -122,6 +122,27 @@
 	wor.check(t)
 }
 
+// TestSpareOfOtherModel takes the head of a large group away while the spares
+// hold the small model, which is loaded more. The group serves again as soon as
+// a spare has loaded its model.
+func TestSpareOfOtherModel(t *testing.T) {
+	wor, mac := formed(t, 3)
+	wor.used = map[string]float64{large: 0.4, small: 1}
+	wor.run(mac, modSmall.LoadTime+5*time.Second)
+	hea := wor.serving(large)[0]
+	spares := 0
+	for _, eng := range wor.engines {
+		if eng.Domain == hea.Domain && eng.Group.State == site.GroupNone && eng.Has(small) {
+			spares++
+		}
+	}
+	assert.Equal(t, spares, 2, "spares of the small model")
+	wor.kill(hea.ID)
+	wor.run(mac, modLarge.LoadTime+4*time.Second)
+	assert.Equal(t, len(wor.serving(large)), 2)
+	wor.check(t)
+}
+
 // TestDomainBack takes a whole domain away and brings it back. Its entries come
 // one by one, and other orderers may have taken over meanwhile.
 func TestDomainBack(t *testing.T) {
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -29,7 +29,7 @@
 		stp.leave(sqd)
 		return
 	}
-	spares := stp.fastest(sqd.model, stp.available(sqd.model, sqd.group.Domain, stp.free(sqd.group.Domain)))
+	spares := stp.fastest(sqd.model, stp.lent(sqd.model, stp.free(sqd.group.Domain)))
 	need := sqd.model.Size - len(mems)
 	quick := need <= 0 || need <= len(spares) && stp.rank(sqd.model, spares[need-1]) <= rankStaging
 	if quick || need <= len(spares) && !stp.present(sqd.group.Head()) {
--- a/entry/report_test.go
+++ b/entry/report_test.go
@@ -20,6 +20,24 @@
 	reportFanout = 36
 )
 
+// listenPeer hands the datagrams that arrive at an address to fun.
+func listenPeer(t *testing.T, addr string, fun func(raw []byte)) {
+	t.Helper()
+	con, err := net.ListenPacket("udp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = con.Close() })
+	go func() {
+		buf := make([]byte, 64<<10)
+		for {
+			size, _, err := con.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			fun(buf[:size])
+		}
+	}()
+}
+
 // TestReportsBounded checks that the reports of a node do not grow with the
 // number of its peers, and that each peer gets some.
 func TestReportsBounded(t *testing.T) {
@@ -30,20 +48,10 @@
 	counts := make([]atomic.Int64, num)
 	for idx := range num {
 		addr := fmt.Sprintf("%s.%d:18083", rig.subnet, 100+idx)
-		con, err := net.ListenPacket("udp", addr)
-		assert.NilError(t, err)
-		defer con.Close()
-		go func() {
-			buf := make([]byte, 64<<10)
-			for {
-				_, _, err := con.ReadFrom(buf)
-				if err != nil {
-					return
-				}
-				counts[idx].Add(1)
-				total.Add(1)
-			}
-		}()
+		listenPeer(t, addr, func([]byte) {
+			counts[idx].Add(1)
+			total.Add(1)
+		})
 		nam := fmt.Sprintf("peer-%d", idx)
 		rig.sto.Put(platform.TopicNodes, "node/"+nam, fmt.Appendf(nil, `{"node":%q,"zone":"z2","addr":%q,"life":1}`, nam, addr))
 	}
@@ -81,23 +89,13 @@
 	for idx := range num {
 		addr := fmt.Sprintf("%s.%d:18083", rig.subnet, 100+idx)
 		want[addr] = true
-		con, err := net.ListenPacket("udp", addr)
-		assert.NilError(t, err)
-		defer con.Close()
-		go func() {
-			buf := make([]byte, 64<<10)
-			for {
-				size, _, err := con.ReadFrom(buf)
-				if err != nil {
-					return
-				}
-				var pkt packet
-				if cbor.Unmarshal(buf[:size], &pkt) == nil && pkt.News != nil && pkt.News.Topic == platform.TopicOperator {
-					pkt.Pass = append(pkt.Pass, addr)
-					got <- pkt
-				}
+		listenPeer(t, addr, func(raw []byte) {
+			var pkt packet
+			if cbor.Unmarshal(raw, &pkt) == nil && pkt.News != nil && pkt.News.Topic == platform.TopicOperator {
+				pkt.Pass = append(pkt.Pass, addr)
+				got <- pkt
 			}
-		}()
+		})
 		nam := fmt.Sprintf("peer-%02d", idx)
 		rig.sto.Put(platform.TopicNodes, "node/"+nam, fmt.Appendf(nil, `{"node":%q,"zone":"z1","addr":%q,"life":1}`, nam, addr))
 	}
