Bound the states of servers in a report

At 3,000 servers the states that the orderer tells while the store is away would not fit into a datagram, and its peers would take it as gone. The 100 servers that were given orders last are told. Not tested apart: no test here has as many servers.

--- a/entry/moved.go
+++ b/entry/moved.go
@@ -15,6 +15,9 @@
 	// movedKeep is the time after the store's return within which entries show
 	// what happened meanwhile: servers are back about 2 s after it.
 	movedKeep = 3 * time.Second
+	// maxMoved is the number of servers whose states are told, those that were
+	// given orders last. At some 120 bytes each a report stays within a datagram.
+	maxMoved = 100
 	// movedBound is the time for which a state that the orderer tells holds; it
 	// repeats it several times within.
 	movedBound = 700 * time.Millisecond
@@ -57,7 +60,7 @@
 // store doesn't answer, and tells the registry and the peers.
 func (ord *orderer) askOrdered(ctx context.Context, now time.Time) {
 	away := ord.hea.age(now) > 0 || ord.hea.sinceBack(now) < movedKeep
-	var list []moved
+	var known []*watched
 	for id, wat := range ord.watched {
 		if !away {
 			if now.Sub(wat.ordered) > movedKeep {
@@ -70,9 +73,14 @@
 			go ord.askWatched(ctx, wat)
 		}
 		if wat.state != nil {
-			list = append(list, *wat.state)
+			known = append(known, wat)
 		}
 	}
+	slices.SortFunc(known, func(one, two *watched) int { return two.ordered.Compare(one.ordered) })
+	list := make([]moved, 0, maxMoved)
+	for _, wat := range known[:min(maxMoved, len(known))] {
+		list = append(list, *wat.state)
+	}
 	ord.movedNow.Store(&list)
 	if len(list) > 0 {
 		ord.reg.tell(list)
