--- a/entry/logger_test.go
+++ b/entry/logger_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -49,3 +51,36 @@
 		assert.Equal(t, strings.Count(out.String(), "event="+evt+" "), 1, "%s", out)
 	}
 }
+
+// stuck is a log output that takes nothing until it is let go.
+type stuck struct{ gate chan struct{} }
+
+func (stk stuck) Write(raw []byte) (int, error) {
+	<-stk.gate
+	return len(raw), nil
+}
+
+// TestLogNeverBlocks lets the log output hang: requests are served all the
+// same, and the lines that found no room are counted.
+func TestLogNeverBlocks(t *testing.T) {
+	const more = 10000 // lines, more than the buffer holds
+	stk := stuck{gate: make(chan struct{})}
+	before := logTo
+	logTo = stk
+	rig := newRig(t, 0, 1)
+	rig.metrics = 18084
+	nod := rig.start()
+	logTo = before
+	defer close(stk.gate)
+	rig.ready()
+	cli := &http.Client{}
+	for range more {
+		res, err := cli.Get("http://" + nod.set.Callers + "/none/x")
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusNotFound)
+	}
+	assert.Equal(t, rig.get(nod, "/read/x", nil).status, http.StatusOK)
+	dropped := regexp.MustCompile(`kumquathinge_log_lines_dropped_total ([0-9]+)`).FindStringSubmatch(nod.metrics(t))
+	assert.Assert(t, dropped != nil && dropped[1] != "0", "dropped lines are counted")
+}
--- a/entry/metric_test.go
+++ b/entry/metric_test.go
@@ -11,6 +11,17 @@
 	"kumquathinge/platform/platfk"
 )
 
+// metrics returns the metrics of a node that serves them at port 18084.
+func (nod *node) metrics(t *testing.T) string {
+	t.Helper()
+	res, err := http.Get("http://" + nod.set.IP + ":18084/metrics")
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return string(raw)
+}
+
 // TestMetrics reads the metrics of a node whose only group lost its head.
 func TestMetrics(t *testing.T) {
 	rig := newRig(t, 0, 1)
@@ -20,14 +31,6 @@
 	spare := platfk.NewServer(rig.sto, platfk.Config{ID: "e9", Service: "engines", Zone: "z1", Domain: "d0", Events: events})
 	rig.engines = append(rig.engines, spare)
 	rig.heads()[0].Darken()
-	read := func() string {
-		res, err := http.Get("http://" + nod.set.IP + ":18084/metrics")
-		assert.NilError(t, err)
-		defer res.Body.Close()
-		raw, err := io.ReadAll(res.Body)
-		assert.NilError(t, err)
-		return string(raw)
-	}
 	for _, want := range []string{
 		`kumquathinge_store_calls_total{call="append",ok="true"}`,
 		`kumquathinge_store_call_seconds_count{call="newest"}`,
@@ -38,7 +41,7 @@
 		`kumquathinge_group_down_seconds_count{model="` + model + `"}`,
 	} {
 		rig.await(want, func() bool {
-			if strings.Contains(read(), want) {
+			if strings.Contains(nod.metrics(t), want) {
 				return true
 			}
 			rig.post(nod, "/stream/x", nil)
