--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,7 +31,10 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{404, "a node that was told to stop did not end: the task that receives reports went on (commit c60dc85)"},
+	{1796384022829, "the soak judged a node that was killed, and told to stop 1 ms later, as one that was only told to stop"},
+}
 
 // program builds kumentry.
 func program(t *testing.T) string {
