Make the test of bounded reports able to fail

TestReportsBounded passed with the bound removed (a fan-out of 1,000): it waited for two reports to each peer, and its slack of two turns was as large. It waits for eight now and fails with the bound removed. TestNewsPassedOn was seen to fail with its bound removed as well; TestStartTogether passes when a fresh node goes by the readers, so it holds its bounds only. The package comment of core/place named a check by the number of orders that is not made.

--- a/core/place/doc.go
+++ b/core/place/doc.go
@@ -6,8 +6,7 @@
 // The Machine holds little state of its own. What stands is read from the
 // servers' own entries at each step, so that an orderer that takes over goes on
 // where the last one ended. Safety rests on what servers check themselves: the
-// term of the orderer, the epoch of a group, and the number of orders that a
-// server has accepted, which an order states when it depends on it.
+// term of the orderer and the epoch of a group.
 //
 // A group is opened only after each member has reported ready under the
 // group's name and epoch. Members of a group whose head may serve are never
--- a/entry/report_test.go
+++ b/entry/report_test.go
@@ -41,7 +41,12 @@
 // TestReportsBounded checks that the reports of a node do not grow with the
 // number of its peers, and that each peer gets some.
 func TestReportsBounded(t *testing.T) {
-	const num = 100
+	const (
+		num = 100
+		// each is the number of reports to a peer that are waited for, so many
+		// that one turn more or less doesn't count.
+		each = 8
+	)
 	rig := newRig(t, 1, 1)
 	rig.ready()
 	var total atomic.Int64
@@ -57,9 +62,9 @@
 	}
 	rig.await("the first report", func() bool { return total.Load() > 0 })
 	begin, before := time.Now(), total.Load()
-	rig.await("two reports to each peer", func() bool {
+	rig.await("reports to each peer", func() bool {
 		for idx := range counts {
-			if counts[idx].Load() < 2 {
+			if counts[idx].Load() < each {
 				return false
 			}
 		}
