--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -41,6 +41,9 @@
 	if _, err := parser.AddCommand("press", "generate load on a running entry VM or engine", "", &loadCommand{}); err != nil {
 		panic(err)
 	}
+	if _, err := parser.AddCommand("groups", "play patterns of lost servers against the planner of groups", "", &groupsCommand{}); err != nil {
+		panic(err)
+	}
 	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return
--- a/core/place/groups.go
+++ b/core/place/groups.go
@@ -69,7 +69,7 @@
 		return info
 	}
 	for _, grp := range ps.input.View.Groups() {
-		if grp.Service != ps.service.Name {
+		if grp.Service != ps.service.Name || isWarmUp(grp.Name) {
 			continue
 		}
 		// Groups are sorted by epoch, so the last one is the newest.
@@ -154,7 +154,7 @@
 // holdGroup puts the members of a complete group on hold and counts them.
 func (ps *pass) holdGroup(info *groupInfo) {
 	ps.hold(info.current.Members...)
-	ps.serverCountByModel[info.model.Name] += len(info.current.Members)
+	ps.countGroup(info.current.Domain, info.model.Name, len(info.current.Members))
 }
 
 // allReady reports whether all members of the group are ready.
--- a/core/place/pass.go
+++ b/core/place/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"kumquathinge/core/site"
@@ -19,10 +20,32 @@
 	// serverCountByModel counts the servers in groups of a model, existing or
 	// being formed.
 	serverCountByModel map[string]int
+	// groupCounts counts the groups by domain and model, existing or being
+	// formed.
+	groupCounts map[string]map[string]int
+	// serversByDomain lists the usable servers with an entry, sorted by ID.
+	serversByDomain map[string][]*site.Server
+	// shortages lists, by domain and model, how many servers the groups lack
+	// that wait for them under their names.
+	shortages map[string]map[string][]int
+	// scarcityByModel holds the weights of the models' next groups.
+	scarcityByModel map[string]float64
 }
 
 func newPass(pl *Planner, in Input, svc *site.Service) *pass {
-	return &pass{planner: pl, input: in, service: svc, held: map[string]bool{}, serverCountByModel: map[string]int{}}
+	ps := &pass{
+		planner: pl, input: in, service: svc, held: map[string]bool{}, serverCountByModel: map[string]int{},
+		serversByDomain: map[string][]*site.Server{}, shortages: map[string]map[string][]int{}, groupCounts: map[string]map[string]int{}, scarcityByModel: map[string]float64{},
+	}
+	for _, srv := range in.View.Servers() {
+		if srv.Service == svc.Name && srv.Domain != "" && ps.usable(srv) && ps.registered(srv) {
+			ps.serversByDomain[srv.Domain] = append(ps.serversByDomain[srv.Domain], srv)
+		}
+	}
+	for _, srvs := range ps.serversByDomain {
+		slices.SortFunc(srvs, func(one, two *site.Server) int { return cmp.Compare(one.ID, two.ID) })
+	}
+	return ps
 }
 
 func (ps *pass) run() []site.Order {
@@ -44,7 +67,7 @@
 		ps.holdOlderMembers(info)
 	}
 	ps.formGroups()
-	ps.stageSpares()
+	ps.warmUpServers()
 	return ps.orders
 }
 
@@ -89,32 +112,20 @@
 	return true
 }
 
-// freeServers returns the usable servers of a domain that no group needs,
-// sorted by ID.
+// freeServers returns the usable servers of a domain that no group needs and
+// that load no model, sorted by ID.
 func (ps *pass) freeServers(domain string) []*site.Server {
 	var out []*site.Server
-	for _, srv := range ps.input.View.Servers() {
-		if srv.Service == ps.service.Name && srv.Domain == domain && ps.usable(srv) && ps.registered(srv) && !ps.held[srv.ID] && ps.planner.pendingOrders[srv.ID] == nil {
+	for _, srv := range ps.serversByDomain[domain] {
+		if !ps.held[srv.ID] && ps.planner.pendingOrders[srv.ID] == nil && ps.loadingModel(srv) == "" {
 			out = append(out, srv)
 		}
 	}
-	slices.SortFunc(out, func(one, two *site.Server) int { return cmp.Compare(one.ID, two.ID) })
 	return out
 }
 
 // domains returns the domains of the service, sorted by name.
-func (ps *pass) domains() []string {
-	seen := map[string]bool{}
-	var out []string
-	for _, srv := range ps.input.View.Servers() {
-		if srv.Service == ps.service.Name && srv.Domain != "" && !seen[srv.Domain] {
-			seen[srv.Domain] = true
-			out = append(out, srv.Domain)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
+func (ps *pass) domains() []string { return slices.Sorted(maps.Keys(ps.serversByDomain)) }
 
 // joinCost ranks the time that a server needs to join a group of the model,
 // from the shortest to the longest.
@@ -125,8 +136,6 @@
 		return costSameModel
 	case srv.HasStaged(model.Name):
 		return costStaged
-	case hist != nil && hist.stagingModel == model.Name:
-		return costStaging
 	}
 	return costLoad
 }
@@ -138,8 +147,6 @@
 	costSameModel = iota
 	// costStaged: the model is staged on the host.
 	costStaged
-	// costStaging: the model is being loaded onto the host.
-	costStaging
 	// costLoad: the model must be loaded.
 	costLoad
 )
@@ -153,28 +160,6 @@
 	return srvs
 }
 
-// reserveLoads reserves the loads that the servers need for the model with the
-// load limiter. It returns false and reserves none if they exceed the limit.
-// Before traffic starts, loads are not limited.
-func (ps *pass) reserveLoads(model *site.Model, srvs []*site.Server) bool {
-	if ps.input.BeforeTraffic {
-		return true
-	}
-	num := 0
-	for _, srv := range srvs {
-		if ps.joinCost(model, srv) == costLoad {
-			num++
-		}
-	}
-	if num > 0 && num > ps.planner.loadLimiter.available(ps.input.Now, ps.service.Engine.LoadsPerSec) {
-		return false
-	}
-	for range num {
-		ps.planner.loadLimiter.record(ps.input.Now)
-	}
-	return true
-}
-
 // startEpoch starts an epoch of a group with the given members, the head first.
 func (ps *pass) startEpoch(name string, model *site.Model, members []*site.Server) {
 	plan := &groupPlan{epoch: ps.planner.nextEpoch(), model: model, startedAt: ps.input.Now}
@@ -187,9 +172,30 @@
 	ps.addJoinOrders(name, plan)
 }
 
+// countGroup counts a group of a model, existing or being formed, with the given
+// number of servers.
+func (ps *pass) countGroup(domain, model string, servers int) {
+	ps.serverCountByModel[model] += servers
+	if ps.groupCounts[domain] == nil {
+		ps.groupCounts[domain] = map[string]int{}
+	}
+	ps.groupCounts[domain][model]++
+}
+
+// domainOf returns the domain of the first server that the view contains, or an
+// empty string.
+func domainOf(view *site.View, ids []string) string {
+	for _, id := range ids {
+		if srv := view.Server(id); srv != nil {
+			return srv.Domain
+		}
+	}
+	return ""
+}
+
 // addJoinOrders queues the join orders for members that haven't joined yet.
 func (ps *pass) addJoinOrders(name string, plan *groupPlan) {
-	ps.serverCountByModel[plan.model.Name] += len(plan.members)
+	ps.countGroup(domainOf(ps.input.View, plan.members), plan.model.Name, len(plan.members))
 	for _, id := range plan.members {
 		srv := ps.input.View.Server(id)
 		ps.hold(srv)
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -81,15 +81,11 @@
 // serverHistory is the history of one process of a server.
 type serverHistory struct {
 	startMillis int64
-	// firstSeenAt is when the process was first seen, goneSince when its entry
-	// was found missing.
-	firstSeenAt, goneSince time.Time
+	// seenSince is when the entry of the process was first seen, or seen again,
+	// goneSince when it was found missing.
+	seenSince, goneSince time.Time
 	// lastModel is the model of the server's most recent group.
 	lastModel string
-	// stagingModel is the model being loaded onto the host, at most until
-	// stagingDeadline.
-	stagingModel    string
-	stagingDeadline time.Time
 	// lastJoinEpoch is the highest epoch that the server was ordered to join,
 	// whatever the result.
 	lastJoinEpoch int64
@@ -207,7 +203,7 @@
 	case site.OrderLeave:
 		return !same
 	}
-	return srv.HasStaged(ord.Model)
+	return true
 }
 
 // updateHistory records state that entries show only temporarily, and removes
@@ -216,19 +212,18 @@
 	for id, srv := range in.View.Servers() {
 		hist := pl.servers[id]
 		if hist == nil || hist.startMillis != srv.StartMillis {
-			hist = &serverHistory{startMillis: srv.StartMillis, firstSeenAt: in.Now}
+			hist = &serverHistory{startMillis: srv.StartMillis, seenSince: in.Now}
 			pl.servers[id] = hist
 		}
+		if !hist.goneSince.IsZero() {
+			hist.seenSince, hist.goneSince = in.Now, time.Time{}
+		}
 		if srv.Model != "" {
 			hist.lastModel = srv.Model
 		}
-		if hist.stagingModel != "" && (srv.HasStaged(hist.stagingModel) || !in.Now.Before(hist.stagingDeadline)) {
-			hist.stagingModel = ""
-		}
 	}
 	for id, hist := range pl.servers {
 		if in.View.Server(id) != nil {
-			hist.goneSince = time.Time{}
 			continue
 		}
 		if hist.goneSince.IsZero() {
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -17,7 +17,7 @@
 	members := info.survivors(ps)
 	if ps.mayRejoin(info, hist) {
 		if info.model != nil {
-			ps.serverCountByModel[info.model.Name] += info.model.GroupSize
+			ps.countGroup(info.current.Domain, info.model.Name, info.model.GroupSize)
 		}
 		return
 	}
@@ -29,23 +29,32 @@
 		ps.endGroup(info)
 		return
 	}
-	spares := ps.sortByJoinCost(info.model, ps.replacementsFor(info.model, ps.freeServers(info.current.Domain)))
+	spares := ps.sortByJoinCost(info.model, ps.availableFor(info.model, info.current.Domain, ps.freeServers(info.current.Domain)))
 	need := info.model.GroupSize - len(members)
-	quick := need <= 0 || need <= len(spares) && ps.joinCost(info.model, spares[need-1]) <= costStaging
-	if quick || need <= len(spares) && !ps.reachable(info.current.Head()) {
-		// Until headLossTimeout, members with an unreachable head can serve only
-		// under their group's name. Loading a model onto a spare is faster than
-		// waiting.
+	if need <= len(spares) {
 		ps.replaceMembers(info, hist, members, spares[:max(0, need)])
 		return
 	}
 	if ps.operational(info) {
 		// There is no spare for the leaving member: the group serves on until the
 		// member stops.
-		ps.serverCountByModel[info.model.Name] += len(members)
+		ps.countGroup(info.current.Domain, info.model.Name, len(members))
 		return
 	}
 	ps.dissolve(info, hist, members)
+	if ps.held[members[0].ID] {
+		ps.addShortage(info, need)
+	}
+}
+
+// addShortage records that a group waits for the given number of servers that
+// hold its model.
+func (ps *pass) addShortage(info *groupInfo, need int) {
+	domain := info.current.Domain
+	if ps.shortages[domain] == nil {
+		ps.shortages[domain] = map[string][]int{}
+	}
+	ps.shortages[domain][info.model.Name] = append(ps.shortages[domain][info.model.Name], need)
 }
 
 // mayRejoin reports whether only entries are missing, of members that may still
@@ -139,7 +148,7 @@
 	if !ps.registered(members[0]) {
 		return
 	}
-	if slices.ContainsFunc(members, func(member *site.Server) bool { return ps.planner.pendingOrders[member.ID] != nil }) || !ps.reserveLoads(info.model, members) {
+	if slices.ContainsFunc(members, func(member *site.Server) bool { return ps.planner.pendingOrders[member.ID] != nil }) {
 		return
 	}
 	ps.startEpoch(info.name, info.model, members)
