--- a/core/place/warmup.go
+++ b/core/place/warmup.go
@@ -39,9 +39,9 @@
 }
 
 const (
-	// spareWeight is the value of the first spare of a group relative to that of
-	// a load that completes a group.
-	spareWeight = 1.0
+	// spareOffset keeps the value of the first spare of a group a little below
+	// that of a load that completes a group.
+	spareOffset = 0.1
 	// minLoadValue is the value from which an empty server loads a model.
 	minLoadValue = 0.01
 	// minConversionGain is the gain in value from which a free server replaces
@@ -49,16 +49,22 @@
 	minConversionGain = 0.2
 	// minBlindConversionGain replaces it while the utilisation is unknown, so
 	// that only groups are completed.
-	minBlindConversionGain = 0.5
+	minBlindConversionGain = 0.3
 	// idleUtilisation is the utilisation up to which more groups of a model are
 	// of no use, and fullUtilisation the one at which they are needed.
 	idleUtilisation = 0.4
 	fullUtilisation = 0.9
+	// freshGroupFactor lets a group that has begun to load be completed first.
+	freshGroupFactor = 0.8
+	// partialDiscount lowers the value of an incomplete group that waits for
+	// servers to be added to its domain.
+	partialDiscount = 0.8
 	// minShortageScarcity is the least weight of a group that waits for a member:
 	// the utilisation lags behind its loss.
-	minShortageScarcity = 0.8
-	// minScarcity and maxScarcity limit the weight of a model.
-	minScarcity = 0.1
+	minShortageScarcity = 1.4
+	// minScarcity and maxScarcity limit the weight of a model. A group that is
+	// not needed now replaces one that is lost later.
+	minScarcity = 0.7
 	maxScarcity = 1.5
 )
 
@@ -156,23 +162,29 @@
 			available -= need
 			continue
 		}
-		if missing := need - available; missing <= reserve {
-			best = max(best, max(weight, minShortageScarcity)/float64(missing))
-		}
+		best = max(best, completionValue(max(weight, minShortageScarcity), need-available, reserve))
 		available = 0
 	}
 	available %= model.GroupSize
 	switch missing := model.GroupSize - available; {
-	case missing > reserve:
-	case ps.input.Utilisation == nil && available == 0:
-		best = max(best, minShortageScarcity*weight)
-	case ps.input.Utilisation == nil:
-		best = max(best, weight)
+	case ps.input.Utilisation != nil || missing > reserve:
+		best = max(best, completionValue(weight, missing, reserve))
+	case available == 0:
+		best = max(best, freshGroupFactor*weight)
 	default:
-		best = max(best, weight/float64(missing))
+		best = max(best, weight)
 	}
 	groups := float64(plan.groups[model.Name])
-	return max(best, spareWeight*weight*groups/(groups+float64(available)+minScarcity))
+	return max(best, weight*groups/(groups+float64(available)+spareOffset))
+}
+
+// completionValue returns the value of one of the servers that a group lacks. It
+// is lower if the domain has too few free servers to complete the group.
+func completionValue(weight float64, missing, reserve int) float64 {
+	if missing > reserve {
+		weight *= partialDiscount
+	}
+	return weight / float64(missing)
 }
 
 // warmUp orders the load of one model to one server.
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -57,7 +58,9 @@
 	stopping     func() bool
 	requestCount func() int64
 
-	planner        *place.Planner
+	planner *place.Planner
+	// coldStart is set if no group served when this node became the orderer.
+	coldStart      bool
 	active         atomic.Bool
 	resumedAt      time.Time
 	faults         map[string]serverFault
@@ -130,6 +133,7 @@
 	}
 	if ord.planner == nil || ord.planner.Term() != cluster.term {
 		ord.planner = place.New(cluster.term)
+		ord.coldStart = !slices.ContainsFunc(ord.state.view.Load().Groups(), (*site.Group).Serving)
 	}
 	if !ord.active.Swap(true) {
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": cluster.term}).Info("this node is now the active orderer")
@@ -244,7 +248,7 @@
 func (ord *orderer) sendOrders(ctx context.Context, view *site.View, now time.Time) {
 	table := ord.state.table.Load()
 	orders := ord.planner.Step(place.Input{
-		Now: now, View: view, Table: table, Unregistered: ord.isUnregistered, Unreachable: ord.isLost, Slow: ord.isSlow, Utilisation: ord.sampleLoad(now), BeforeTraffic: ord.requestCount() == 0,
+		Now: now, View: view, Table: table, Unregistered: ord.isUnregistered, Unreachable: ord.isLost, Slow: ord.isSlow, Utilisation: ord.sampleLoad(now), BeforeTraffic: ord.coldStart && ord.requestCount() == 0,
 	})
 	planner := ord.planner
 	for _, order := range orders {
