--- a/core/place/warmup.go
+++ b/core/place/warmup.go
@@ -39,9 +39,11 @@
 }
 
 const (
-	// spareOffset keeps the value of the first spare of a group a little below
-	// that of a load that completes a group.
-	spareOffset = 0.1
+	// spareWeight is the value of a spare that is needed relative to that of a
+	// load that completes a group.
+	spareWeight = 1.0
+	// lossesPerLoad is the expected number of losses per server during a load.
+	lossesPerLoad = 0.15
 	// minLoadValue is the value from which an empty server loads a model.
 	minLoadValue = 0.01
 	// minConversionGain is the gain in value from which a free server replaces
@@ -54,6 +56,9 @@
 	// of no use, and fullUtilisation the one at which they are needed.
 	idleUtilisation = 0.4
 	fullUtilisation = 0.9
+	// partialHolderValue is the value of a server of an incomplete group relative
+	// to that of the group.
+	partialHolderValue = 1.0
 	// freshGroupFactor lets a group that has begun to load be completed first.
 	freshGroupFactor = 0.8
 	// partialDiscount lowers the value of an incomplete group that waits for
@@ -174,8 +179,20 @@
 	default:
 		best = max(best, weight)
 	}
-	groups := float64(plan.groups[model.Name])
-	return max(best, weight*groups/(groups+float64(available)+spareOffset))
+	return max(best, spareWeight*weight*lossProbability(plan.groups[model.Name]*model.GroupSize, available))
+}
+
+// lossProbability returns the probability that more than the given number of
+// servers are lost during a load, by a Poisson distribution.
+func lossProbability(servers, spares int) float64 {
+	mean := lossesPerLoad * float64(servers)
+	term := math.Exp(-mean)
+	sum := term
+	for num := 1; num <= spares; num++ {
+		term *= mean / float64(num)
+		sum += term
+	}
+	return 1 - sum
 }
 
 // completionValue returns the value of one of the servers that a group lacks. It
@@ -238,11 +255,19 @@
 }
 
 // holderValue returns the value of one of the free servers that hold a model.
+// At least half of a group is kept together, since each server that is taken
+// from it has to be replaced by another load.
 func (ps *pass) holderValue(plan *loadPlan, name string) float64 {
 	for idx := range ps.service.Engine.Models {
-		if model := &ps.service.Engine.Models[idx]; model.Name == name {
-			return ps.loadValue(plan, model, plan.available[name]-1, len(plan.empty)+1)
+		model := &ps.service.Engine.Models[idx]
+		if model.Name != name {
+			continue
+		}
+		value := ps.loadValue(plan, model, plan.available[name]-1, len(plan.empty)+1)
+		if 2*(plan.available[name]%model.GroupSize) >= model.GroupSize {
+			value = max(value, partialHolderValue*ps.scarcityByModel[name])
 		}
+		return value
 	}
 	return 0
 }
