--- a/core/place/form.go
+++ b/core/place/form.go
@@ -18,6 +18,10 @@
 	// minUtilisation replaces the utilisation of an idle model, so that it keeps
 	// some weight.
 	minUtilisation = 0.05
+	// serversPerSpare is the number of servers of a domain for each one that a
+	// new group leaves as a spare, unless neededUtilisation is exceeded.
+	serversPerSpare   = 16
+	neededUtilisation = 0.8
 	// maxLoadSlowdown is the factor by which concurrent loads may prolong a
 	// load.
 	maxLoadSlowdown = 2
@@ -61,6 +65,9 @@
 			if cand.loadsNeeded > 0 && !(ps.input.BeforeTraffic && ps.settled(domain)) {
 				continue
 			}
+			if !ps.needed(model) && len(freeByDomain[domain])-model.GroupSize < len(ps.serversByDomain[domain])/serversPerSpare {
+				continue
+			}
 			if best.model == nil || cand.betterThan(best) {
 				best = cand
 			}
@@ -69,6 +76,12 @@
 	return best.model, best.domain
 }
 
+// needed reports whether the groups of a model are so busy that another one is
+// worth more than spares.
+func (ps *pass) needed(model *site.Model) bool {
+	return ps.input.Utilisation != nil && ps.input.Utilisation[model.Name] >= neededUtilisation
+}
+
 // candidate is a group that could be formed.
 type candidate struct {
 	model       *site.Model
--- a/core/place/pass.go
+++ b/core/place/pass.go
@@ -20,6 +20,8 @@
 	// serverCountByModel counts the servers in groups of a model, existing or
 	// being formed.
 	serverCountByModel map[string]int
+	// serverCount is the number of usable servers with an entry.
+	serverCount int
 	// groupCounts counts the groups by domain and model, existing or being
 	// formed.
 	groupCounts map[string]map[string]int
@@ -40,6 +42,7 @@
 	for _, srv := range in.View.Servers() {
 		if srv.Service == svc.Name && srv.Domain != "" && ps.usable(srv) && ps.registered(srv) {
 			ps.serversByDomain[srv.Domain] = append(ps.serversByDomain[srv.Domain], srv)
+			ps.serverCount++
 		}
 	}
 	for _, srvs := range ps.serversByDomain {
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -81,6 +81,7 @@
 // serverHistory is the history of one process of a server.
 type serverHistory struct {
 	startMillis int64
+	domain      string
 	// seenSince is when the entry of the process was first seen, or seen again,
 	// goneSince when it was found missing.
 	seenSince, goneSince time.Time
@@ -120,6 +121,7 @@
 	// headByEpoch maps the observed epochs of groups to their heads.
 	headByEpoch map[epochKey]string
 	loadLimiter *loadLimiter
+	losses      lossHistory
 }
 
 // epochKey identifies an epoch of a group.
@@ -212,7 +214,7 @@
 	for id, srv := range in.View.Servers() {
 		hist := pl.servers[id]
 		if hist == nil || hist.startMillis != srv.StartMillis {
-			hist = &serverHistory{startMillis: srv.StartMillis, seenSince: in.Now}
+			hist = &serverHistory{startMillis: srv.StartMillis, seenSince: in.Now, domain: srv.Domain}
 			pl.servers[id] = hist
 		}
 		if !hist.goneSince.IsZero() {
@@ -228,6 +230,7 @@
 		}
 		if hist.goneSince.IsZero() {
 			hist.goneSince, hist.headUnknownSince = in.Now, time.Time{}
+			pl.losses.record(hist.domain, in.Now)
 		}
 		if in.Now.Sub(hist.goneSince) > historyRetention {
 			delete(pl.servers, id)
--- a/core/place/warmup.go
+++ b/core/place/warmup.go
@@ -39,11 +39,10 @@
 }
 
 const (
-	// spareWeight is the value of a spare that is needed relative to that of a
-	// load that completes a group.
-	spareWeight = 1.0
-	// lossesPerLoad is the expected number of losses per server during a load.
-	lossesPerLoad = 0.15
+	// lossBatch is the number of members that groups of at least largeGroupSize
+	// lose together.
+	lossBatch      = 2
+	largeGroupSize = 8
 	// minLoadValue is the value from which an empty server loads a model.
 	minLoadValue = 0.01
 	// minConversionGain is the gain in value from which a free server replaces
@@ -156,11 +155,17 @@
 
 // loadValue returns the value of one more free server that holds the model,
 // beside the available ones. A server that completes a group is worth most; one
-// of several that are missing has its part of that. Before the utilisation is
-// known, the groups follow the initial shares, and one that has begun is
-// completed first.
+// of several that are missing has its part of that. Before traffic, what forms no
+// group is a spare. Before the utilisation is known, the groups follow the
+// initial shares, and one that has begun is completed first.
 func (ps *pass) loadValue(plan *loadPlan, model *site.Model, available, reserve int) float64 {
 	weight := ps.scarcityByModel[model.Name]
+	spare := func(available int) float64 {
+		return weight * ps.lossProbability(model, plan.groups[model.Name], available)
+	}
+	if ps.input.BeforeTraffic {
+		return spare(available)
+	}
 	best := 0.0
 	for _, need := range plan.shortages[model.Name] {
 		if available >= need {
@@ -179,16 +184,22 @@
 	default:
 		best = max(best, weight)
 	}
-	return max(best, spareWeight*weight*lossProbability(plan.groups[model.Name]*model.GroupSize, available))
+	return max(best, spare(available))
 }
 
 // lossProbability returns the probability that more than the given number of
-// servers are lost during a load, by a Poisson distribution.
-func lossProbability(servers, spares int) float64 {
-	mean := lossesPerLoad * float64(servers)
+// servers of the groups of a model in one domain are lost during a load.
+// Losses come as a Poisson process. Those of a large group come in pairs, since
+// two servers that are lost together are often members of one.
+func (ps *pass) lossProbability(model *site.Model, groups, spares int) float64 {
+	batch := 1
+	if model.GroupSize >= largeGroupSize {
+		batch = lossBatch
+	}
+	mean := ps.planner.losses.perServer(ps.input.Now, ps.serverCount) * float64(groups*model.GroupSize) / float64(batch)
 	term := math.Exp(-mean)
 	sum := term
-	for num := 1; num <= spares; num++ {
+	for num := 1; num <= spares/batch; num++ {
 		term *= mean / float64(num)
 		sum += term
 	}
--- a/core/share/balancer.go
+++ b/core/share/balancer.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,8 +34,11 @@
 	running int
 	// waitingTokens is the number of prompt tokens in requests that haven't
 	// started.
-	waitingTokens       int
+	waitingTokens int
+	// lastProgressAt is when the server last sent data, or when the first request
+	// was sent to it. progressed is set if it has sent data.
 	lastProgressAt      time.Time
+	progressed          bool
 	consecutiveFailures int
 	avoidUntil          time.Time
 	// meanGap is the moving average of the interval between stream events of the
@@ -76,13 +80,17 @@
 	nextPeerExpiry   time.Time
 	// lostUntil maps a lost server to the time until which it receives no
 	// requests.
-	lostUntil  map[string]time.Time
-	scanOffset int
+	lostUntil map[string]time.Time
+	// peerProgressAt maps a server to the time at which a peer last reported that
+	// it sends data, for servers reported since peerProgressBegin.
+	peerProgressAt    map[string]time.Time
+	peerProgressBegin time.Time
+	scanOffset        int
 }
 
 // NewBalancer returns a Balancer for a node in the zone.
 func NewBalancer(zone string) *Balancer {
-	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}}
+	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}}
 }
 
 func (bal *Balancer) statsOf(id string) *serverStats {
@@ -126,7 +134,7 @@
 // RecordProgress records that the server sent data.
 func (bal *Balancer) RecordProgress(id string, now time.Time) {
 	stats := bal.statsOf(id)
-	stats.lastProgressAt = now
+	stats.lastProgressAt, stats.progressed = now, true
 	stats.consecutiveFailures = 0
 	stats.avoidUntil = time.Time{}
 }
@@ -214,12 +222,50 @@
 	return sum
 }
 
+// peerProgressRetention is the time after which reports of progress are
+// discarded.
+const peerProgressRetention = 10 * time.Second
+
+// RecordPeerProgress records that a peer reported servers from which it has
+// received data just now.
+func (bal *Balancer) RecordPeerProgress(ids []string, now time.Time) {
+	if now.Sub(bal.peerProgressBegin) > peerProgressRetention {
+		maps.DeleteFunc(bal.peerProgressAt, func(_ string, at time.Time) bool { return now.Sub(at) > peerProgressRetention })
+		bal.peerProgressBegin = now
+	}
+	for _, id := range ids {
+		bal.peerProgressAt[id] = now
+	}
+}
+
+// ActiveServers returns the IDs of the servers that sent data to this node since
+// the time.
+func (bal *Balancer) ActiveServers(since time.Time) []string {
+	var out []string
+	for id, stats := range bal.statsByServer {
+		if stats.progressed && !stats.lastProgressAt.Before(since) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// lastProgress returns when the server last sent data to this node or a peer, or
+// when this node's first request was sent to it. A server that other nodes
+// receive data from is busy, not lost.
+func (bal *Balancer) lastProgress(id string, stats *serverStats) time.Time {
+	if at := bal.peerProgressAt[id]; at.After(stats.lastProgressAt) {
+		return at
+	}
+	return stats.lastProgressAt
+}
+
 // StalledServers returns the IDs of the servers that run requests of this node
 // and have sent nothing for longer than timeout.
 func (bal *Balancer) StalledServers(timeout time.Duration, now time.Time) []string {
 	var out []string
 	for id, stats := range bal.statsByServer {
-		if stats.running > 0 && now.Sub(stats.lastProgressAt) > timeout {
+		if stats.running > 0 && now.Sub(bal.lastProgress(id, stats)) > timeout {
 			out = append(out, id)
 		}
 	}
@@ -272,13 +318,13 @@
 }
 
 // TimeSinceProgress returns how long a server that runs requests of this node
-// has sent nothing, and zero if it runs none.
+// has sent nothing to any node, and zero if it runs none.
 func (bal *Balancer) TimeSinceProgress(id string, now time.Time) time.Duration {
 	stats := bal.statsByServer[id]
 	if stats == nil || stats.running == 0 {
 		return 0
 	}
-	return now.Sub(stats.lastProgressAt)
+	return now.Sub(bal.lastProgress(id, stats))
 }
 
 // Choice is the server chosen for a request and its load.
@@ -292,10 +338,20 @@
 // choice has no server if all are full.
 //
 // With many nodes, all of which see loads that are one report old, all would
-// choose the same server. Each then compares two random servers first.
+// choose the same server. Each then compares a few random servers first: those
+// of its own zone, whose nodes report to each other most often, and others only
+// if these are busy.
 func (bal *Balancer) Choose(srvs []*site.Server, capacity func(*site.Server) int, excluded []string, now time.Time) Choice {
 	if len(bal.peers)+1 > maxFullScanNodes && len(srvs) > sampleSize {
-		choice, cost := bal.leastLoaded(bal.sampleServers(srvs), capacity, excluded, now)
+		local := bal.localServers(srvs)
+		choice, cost := bal.leastLoaded(sampleServers(local, localSampleSize), capacity, excluded, now)
+		if choice.Server != nil && cost < localCost {
+			return choice
+		}
+		other, otherCost := bal.leastLoaded(sampleServers(srvs, sampleSize), capacity, excluded, now)
+		if other.Server != nil && (choice.Server == nil || otherCost < cost) {
+			choice, cost = other, otherCost
+		}
 		if choice.Server != nil && cost < avoidCost {
 			return choice
 		}
@@ -305,6 +361,17 @@
 	return choice
 }
 
+// localServers returns the servers of the node's own zone.
+func (bal *Balancer) localServers(srvs []*site.Server) []*site.Server {
+	out := make([]*site.Server, 0, len(srvs))
+	for _, srv := range srvs {
+		if srv.Zone == bal.zone {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
+
 const (
 	// maxFullScanNodes is the number of nodes up to which each compares all
 	// servers.
@@ -312,16 +379,25 @@
 	// sampleSize is the number of random servers to compare with more nodes than
 	// that. Two choices are enough to balance the load.
 	sampleSize = 2
+	// localSampleSize is this number for the servers of the node's own zone.
+	localSampleSize = 3
+	// localCost is the cost up to which a server of the node's own zone is taken
+	// without a look at other zones.
+	localCost = 0.75
 )
 
-// sampleServers returns two distinct random servers.
-func (bal *Balancer) sampleServers(srvs []*site.Server) []*site.Server {
-	one := rand.IntN(len(srvs))
-	two := rand.IntN(len(srvs) - 1)
-	if two >= one {
-		two++
+// sampleServers returns distinct random servers, at most num of them.
+func sampleServers(srvs []*site.Server, num int) []*site.Server {
+	if len(srvs) <= num {
+		return srvs
 	}
-	return []*site.Server{srvs[one], srvs[two]}
+	out := make([]*site.Server, 0, num)
+	for len(out) < num {
+		if srv := srvs[rand.IntN(len(srvs))]; !slices.Contains(out, srv) {
+			out = append(out, srv)
+		}
+	}
+	return out
 }
 
 // leastLoaded returns the server with the lowest cost, and the cost.
@@ -342,7 +418,7 @@
 		if srv.Zone != bal.zone {
 			cost += crossZoneCost
 		}
-		if stats := bal.statsByServer[srv.ID]; stats != nil && (now.Before(stats.avoidUntil) || stats.running > 0 && now.Sub(stats.lastProgressAt) > stallTimeout) {
+		if stats := bal.statsByServer[srv.ID]; stats != nil && (now.Before(stats.avoidUntil) || stats.running > 0 && now.Sub(bal.lastProgress(srv.ID, stats)) > stallTimeout) {
 			cost += avoidCost
 		}
 		if best.Server == nil || cost < bestCost {
--- a/entry/callmonitor.go
+++ b/entry/callmonitor.go
@@ -19,6 +19,9 @@
 	// any of its streams is suspect. A batch of a full group takes 60 ms per
 	// pass, and 270 ms while long prompts are processed.
 	streamSilenceTimeout = 450 * time.Millisecond
+	// connSilenceTimeout is the time without data after which the connection of
+	// a request counts as broken although the head sends data on others.
+	connSilenceTimeout = 1200 * time.Millisecond
 	// retryObjectiveFactor is the number of latency objectives after which an
 	// idempotent request to a plain service is retried at another server.
 	retryObjectiveFactor = 2.5
@@ -97,7 +100,7 @@
 	switch {
 	case call.service.Engine != nil && view.Server(srv.ID) != nil && view.Server(srv.ID).Group.Epoch != srv.Group.Epoch:
 		cause = errGroupChanged
-	case call.service.Engine != nil && call.sinceProgress(now) > streamSilenceTimeout && monitor.serverSilent(srv.ID, now):
+	case call.service.Engine != nil && (call.sinceProgress(now) > connSilenceTimeout || call.sinceProgress(now) > streamSilenceTimeout && monitor.serverSilent(srv.ID, now)):
 		cause = errServerSilent
 	case call.service.Engine == nil && call.sinceProgress(now) > time.Duration(retryObjectiveFactor*float64(call.route.TargetLatency)):
 		cause = errServerSilent
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -47,6 +47,7 @@
 	// fewer and larger updates.
 	batchDelayPerNode  = 800 * time.Microsecond
 	batchDelayMinNodes = 12
+	maxBatchDelay      = 40 * time.Millisecond
 )
 
 // topicChange is a set of changes of a topic, read from the store or a peer.
@@ -313,7 +314,7 @@
 		return nil
 	}
 	follower.apply(topicChange{records: recs, endOffset: follower.nextOffset.Load()})
-	sleep(ctx, batchDelay+time.Duration(max(0, recipients-batchDelayMinNodes))*batchDelayPerNode)
+	sleep(ctx, min(maxBatchDelay, batchDelay+time.Duration(max(0, recipients-batchDelayMinNodes))*batchDelayPerNode))
 	return nil
 }
 
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -20,6 +20,13 @@
 	// It limits what a node sends and receives to about 300 heartbeats per
 	// second. In deployments of up to 37 nodes every peer gets one per round.
 	heartbeatFanout = 36
+	// crossZoneFanout is the largest number of rotating heartbeats per round of
+	// a node that does not read the store. Nodes prefer the servers of their own
+	// zone, so the load of other zones matters less.
+	crossZoneFanout = 12
+	// claimantsPerZone is the number of nodes of each zone that get a heartbeat
+	// of the orderer in every round, because they replace it first.
+	claimantsPerZone = 2
 )
 
 // heartbeat is the state of a node that it periodically sends to its peers.
@@ -36,6 +43,9 @@
 	// Suspects are the servers that send no data for the node's requests, or
 	// far less than other servers.
 	Suspects []string `cbor:"6,keyasint"`
+	// ActiveServers are the servers that sent data to the node within the last
+	// round.
+	ActiveServers []string `cbor:"16,keyasint,omitempty"`
 	// Stopping is set while the node stops. Such a node does not become the
 	// orderer.
 	Stopping bool `cbor:"7,keyasint"`
@@ -101,30 +111,44 @@
 	return num
 }
 
-// sendHeartbeats sends one round of heartbeats. A node that reads the store
-// sends one in each round to its zone and to the other readers, because these
-// depend on its offsets and its liveness. All other peers get theirs in
-// rotation.
+// sendHeartbeats sends one round of heartbeats. Every node sends one to each
+// node of its zone. A node that reads the store also sends one to the other
+// readers and to the first nodes of each zone, because these depend on its
+// offsets and its liveness. All other peers get theirs in rotation.
 func (peers *peers) sendHeartbeats(now time.Time) {
 	hb := peers.newHeartbeat(now)
 	addrs := peers.peerAddrs(now)
+	fanout := crossZoneFanout
+	if hb.ReadsStore || len(addrs) <= heartbeatFanout {
+		fanout = heartbeatFanout
+	}
+	frequent, rotating := peers.splitPeers(addrs, hb.ReadsStore, now)
+	if len(addrs) <= heartbeatFanout {
+		frequent, rotating = append(frequent, rotating...), nil
+	}
+	hb.Interval = heartbeatInterval
+	peers.sendHeartbeatTo(hb, frequent, addrs)
+	hb.Interval = time.Duration(share.BatchCount(len(rotating), fanout)) * heartbeatInterval
+	peers.sendHeartbeatTo(hb, peers.rotation.NextBatch(rotating, fanout), addrs)
+}
+
+// splitPeers returns the peers that get a heartbeat in every round and those
+// that get theirs in rotation, sorted by name.
+func (peers *peers) splitPeers(addrs map[string]string, readsStore bool, now time.Time) (frequent, rotating []string) {
 	readers := peers.storeReaders(now)
-	var frequent, rotating []string
 	cluster := peers.state.cluster.Load()
+	seenByZone := map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(addrs)) {
-		if hb.ReadsStore && (cluster.nodes[name].Zone == peers.self.Zone || readers[name]) {
+		zone := cluster.nodes[name].Zone
+		seenByZone[zone]++
+		always := zone == peers.self.Zone && len(frequent) < heartbeatFanout
+		if always || readsStore && (readers[name] || seenByZone[zone] <= claimantsPerZone) {
 			frequent = append(frequent, name)
 		} else {
 			rotating = append(rotating, name)
 		}
 	}
-	if len(addrs) <= heartbeatFanout {
-		frequent, rotating = append(frequent, rotating...), nil
-	}
-	hb.Interval = heartbeatInterval
-	peers.sendHeartbeatTo(hb, frequent, addrs)
-	hb.Interval = time.Duration(share.BatchCount(len(rotating), heartbeatFanout)) * heartbeatInterval
-	peers.sendHeartbeatTo(hb, peers.rotation.NextBatch(rotating, heartbeatFanout), addrs)
+	return frequent, rotating
 }
 
 // newHeartbeat returns the current heartbeat of this node, without Interval.
@@ -135,6 +159,7 @@
 	}
 	peers.loads.withLock(func(balancer *share.Balancer) {
 		hb.RequestCounts = balancer.LocalLoads()
+		hb.ActiveServers = balancer.ActiveServers(now.Add(-heartbeatInterval))
 		hb.Suspects = append(balancer.StalledServers(streamSilenceTimeout, now), balancer.SlowServers()...)
 	})
 	for _, follower := range peers.followers {
@@ -186,39 +211,68 @@
 // In larger zones these forward it to the others.
 const updateFanout = 12
 
+// zoneRelays is the number of nodes of another zone to which the orderer sends
+// an update. Each of them forwards it to the whole zone, so that one of them may
+// fail.
+const zoneRelays = 2
+
 // broadcast sends records that this node has read to the other nodes of its
-// zone, in updates that fit into one datagram each. It returns the number of
-// these nodes. A node that misses an update fetches its records when it
-// receives a heartbeat with a later offset.
+// zone, in updates that fit into one datagram each. The orderer of a deployment
+// of at least sharedReaderMinNodes nodes sends them to all zones. It returns the
+// number of these nodes. A node that misses an update fetches its records when
+// it receives a heartbeat with a later offset.
 func (peers *peers) broadcast(update topicUpdate) int {
+	targets := peers.updateTargets()
+	num := 0
+	for _, addrs := range targets {
+		num += len(addrs)
+	}
+	for from, recs := update.From, update.Records; len(recs) > 0 && num > 0; {
+		page := mirror.BuildPage(recs, update.End, maxUpdateSize)
+		part := topicUpdate{Topic: update.Topic, From: from, End: page.End, Records: page.Records}
+		for zone, addrs := range targets {
+			if zone == peers.self.Zone {
+				direct := addrs[:min(updateFanout, len(addrs))]
+				peers.sendUpdate(part, direct, addrs[len(direct):])
+				continue
+			}
+			for idx := range min(zoneRelays, len(addrs)) {
+				peers.sendUpdate(part, addrs[idx:idx+1], slices.Delete(slices.Clone(addrs), idx, idx+1))
+			}
+		}
+		from, recs = page.End, recs[len(page.Records):]
+	}
+	return num
+}
+
+// updateTargets returns the addresses that get the updates of this node, by
+// zone. Nodes that are not live come last, because they may not forward updates.
+func (peers *peers) updateTargets() map[string][]string {
 	live := map[string]bool{}
 	peers.eachLive(time.Now(), func(hb heartbeat) { live[hb.Node] = true })
 	cluster := peers.state.cluster.Load()
-	var addrs, notLive []string
+	shared := cluster.orderer == peers.self && len(cluster.nodes) >= sharedReaderMinNodes
+	out, notLive := map[string][]string{}, map[string][]string{}
 	for _, name := range slices.Sorted(maps.Keys(cluster.nodes)) {
-		switch rec := cluster.nodes[name]; {
-		case name == peers.self.Node || rec.Zone != peers.self.Zone:
+		rec := cluster.nodes[name]
+		switch {
+		case name == peers.self.Node || rec.Zone != peers.self.Zone && !shared:
 		case live[name]:
-			addrs = append(addrs, rec.Addr)
+			out[rec.Zone] = append(out[rec.Zone], rec.Addr)
 		default:
-			notLive = append(notLive, rec.Addr)
+			notLive[rec.Zone] = append(notLive[rec.Zone], rec.Addr)
 		}
 	}
-	// Nodes that are not live are last, because they may not forward updates.
-	addrs = append(addrs, notLive...)
-	direct := addrs[:min(updateFanout, len(addrs))]
-	for from, recs := update.From, update.Records; len(recs) > 0 && len(addrs) > 0; {
-		page := mirror.BuildPage(recs, update.End, maxUpdateSize)
-		peers.sendUpdate(topicUpdate{Topic: update.Topic, From: from, End: page.End, Records: page.Records}, direct, addrs[len(direct):])
-		from, recs = page.End, recs[len(page.Records):]
+	for zone, addrs := range notLive {
+		out[zone] = append(out[zone], addrs...)
 	}
-	return len(addrs)
+	return out
 }
 
 // sendUpdate sends an update to the direct addresses. Each of these receivers
 // forwards it to a part of the others.
 func (peers *peers) sendUpdate(update topicUpdate, direct, others []string) {
-	chunk := (len(others) + updateFanout - 1) / updateFanout
+	chunk := (len(others) + max(1, len(direct)) - 1) / max(1, len(direct))
 	for _, addr := range direct {
 		forward := others[:min(chunk, len(others))]
 		others = others[len(forward):]
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -173,6 +173,7 @@
 	}
 	peers.loads.withLock(func(balancer *share.Balancer) {
 		balancer.UpdatePeer(hb.Node, hb.RequestCounts, hb.Interval, now)
+		balancer.RecordPeerProgress(hb.ActiveServers, now)
 		for _, id := range hb.LostServers {
 			balancer.MarkLost(id, hb.Interval, now)
 		}
@@ -211,24 +212,37 @@
 	unreachableTimeout = 3 * time.Second
 )
 
+// sharedReaderMinNodes is the number of nodes from which the orderer alone reads
+// the store for all zones. In smaller deployments the calls cost less than the
+// delay of a change.
+const sharedReaderMinNodes = 12
+
 // readsStore reports whether this node should read the store. That holds for
-// the orderer, and for a node if no live node of its zone that precedes it by
-// name reaches the store and it is among the first fallbackReaders nodes. If no
-// live node reaches the store for unreachableTimeout, it holds for every node.
+// the orderer. It holds for other nodes if there are few nodes or the orderer
+// does not reach the store: for a node if no live node of its zone that
+// precedes it by name reaches the store and it is among the first
+// fallbackReaders nodes. If no live node reaches the store for
+// unreachableTimeout, it holds for every node.
 func (peers *peers) readsStore(now time.Time) bool {
 	cluster := peers.state.cluster.Load()
 	if cluster.term > 0 && cluster.orderer == peers.self {
 		return true
 	}
-	rank, anyReachable, earlierReader := 0, false, false
+	rank, anyReachable, earlierReader, sharedReader := 0, false, false, false
 	peers.eachLive(now, func(hb heartbeat) {
 		anyReachable = anyReachable || hb.storeReachable()
+		if hb.Node == cluster.orderer.Node && hb.Incarnation == cluster.orderer.Incarnation && hb.IsOrderer {
+			sharedReader = hb.storeReachable()
+		}
 		if hb.Zone != peers.self.Zone || hb.Node > peers.self.Node || hb.Stopping {
 			return
 		}
 		earlierReader = earlierReader || hb.storeReachable()
 		rank++
 	})
+	if sharedReader && len(cluster.nodes) >= sharedReaderMinNodes {
+		return false
+	}
 	if !earlierReader && rank < fallbackReaders {
 		return true
 	}
