--- a/core/share/balancer.go
+++ b/core/share/balancer.go
@@ -85,12 +85,13 @@
 	// it sends data, for servers reported since peerProgressBegin.
 	peerProgressAt    map[string]time.Time
 	peerProgressBegin time.Time
+	zones             zoneContacts
 	scanOffset        int
 }
 
 // NewBalancer returns a Balancer for a node in the zone.
 func NewBalancer(zone string) *Balancer {
-	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}}
+	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}, zones: zoneContacts{lastContact: map[string]time.Time{}}}
 }
 
 func (bal *Balancer) statsOf(id string) *serverStats {
@@ -335,7 +336,7 @@
 
 // Choose returns the least loaded server that runs fewer requests than its
 // capacity and isn't excluded. Servers that failed recently come last. The
-// choice has no server if all are full.
+// choice has no server if all are full or in zones that can't be reached.
 //
 // With many nodes, all of which see loads that are one report old, all would
 // choose the same server. Each then compares a few random servers first: those
@@ -406,7 +407,7 @@
 	bestCost := 0.0
 	for pos := range srvs {
 		srv := srvs[(pos+bal.scanOffset)%len(srvs)]
-		if slices.Contains(excluded, srv.ID) || now.Before(bal.lostUntil[srv.ID]) {
+		if slices.Contains(excluded, srv.ID) || now.Before(bal.lostUntil[srv.ID]) || bal.zones.unreachable(srv.Zone, now) {
 			continue
 		}
 		load := bal.Load(srv.ID, now)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -97,10 +97,13 @@
 }
 
 // recordProgress records that the server of a call sent data.
-func (fwd *forwarder) recordProgress(call *call, id string) {
+func (fwd *forwarder) recordProgress(call *call, srv *site.Server) {
 	now := time.Now()
 	call.recordProgress(now)
-	fwd.loads.withLock(func(balancer *share.Balancer) { balancer.RecordProgress(id, now) })
+	fwd.loads.withLock(func(balancer *share.Balancer) {
+		balancer.RecordProgress(srv.ID, now)
+		balancer.RecordContact(srv.Zone, now)
+	})
 }
 
 // maxServersTried limits how many servers a request is sent to, including
@@ -178,6 +181,8 @@
 type notRunError struct {
 	cause  error
 	reason string
+	// overShare is set if the organisation far exceeds its share.
+	overShare bool
 }
 
 func (notRun *notRunError) Error() string {
@@ -258,7 +263,7 @@
 		return outcomeUnknown, core.Errorf(core.CodeCrossedAnswer, "response from %s does not belong to this request", attempt.server.ID)
 	}
 	if status < fasthttp.StatusInternalServerError {
-		fwd.recordProgress(call, attempt.server.ID)
+		fwd.recordProgress(call, attempt.server)
 	}
 	return outcomeAnswered, nil
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -34,7 +34,8 @@
 	// triedServers are the servers of all failed attempts, including refusals.
 	possibleRuns atomic.Int32
 	triedServers []string
-	promptTokens int
+	// promptTokens and maxOutputTokens are the token counts of the request.
+	promptTokens, maxOutputTokens int
 	// firstEventDelay is the time from startedAt to the first event,
 	// maxEventGap the longest interval between two events.
 	firstEventDelay, maxEventGap time.Duration
@@ -121,10 +122,11 @@
 
 // Causes for which an attempt or a call is cancelled.
 var (
-	errCallerGone     = core.Errorf(core.CodeCallerGone, "the caller closed its connection")
-	errServerSilent   = core.Errorf(core.CodeSilent, "the server sent no data for too long")
-	errDeadlinePassed = core.Errorf(core.CodeDeadline, "the deadline passed")
-	errGroupChanged   = core.Errorf(core.CodeMemberMissing, "the group of the server was formed anew")
+	errCallerGone      = core.Errorf(core.CodeCallerGone, "the caller closed its connection")
+	errServerSilent    = core.Errorf(core.CodeSilent, "the server sent no data for too long")
+	errZoneUnreachable = core.Errorf(core.CodeSilent, "the availability zone of the server can't be reached")
+	errDeadlinePassed  = core.Errorf(core.CodeDeadline, "the deadline passed")
+	errGroupChanged    = core.Errorf(core.CodeMemberMissing, "the group of the server was formed anew")
 )
 
 // strippedHeaders are the request headers that are not forwarded: they concern
--- a/entry/callmonitor.go
+++ b/entry/callmonitor.go
@@ -98,6 +98,8 @@
 	}
 	var cause error
 	switch {
+	case call.sinceProgress(now) > callCheckInterval && monitor.zoneUnreachable(srv.Zone, now):
+		cause = errZoneUnreachable
 	case call.service.Engine != nil && view.Server(srv.ID) != nil && view.Server(srv.ID).Group.Epoch != srv.Group.Epoch:
 		cause = errGroupChanged
 	case call.service.Engine != nil && (call.sinceProgress(now) > connSilenceTimeout || call.sinceProgress(now) > streamSilenceTimeout && monitor.serverSilent(srv.ID, now)):
@@ -113,6 +115,13 @@
 	call.abortAttempt(cause)
 }
 
+// zoneUnreachable reports whether nothing arrives from a zone.
+func (monitor *callMonitor) zoneUnreachable(zone string, now time.Time) bool {
+	out := false
+	monitor.forwarder.loads.withLock(func(balancer *share.Balancer) { out = balancer.ZoneUnreachable(zone, now) })
+	return out
+}
+
 // serverSilent reports whether the server sends nothing for any request.
 func (monitor *callMonitor) serverSilent(id string, now time.Time) bool {
 	out := false
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -18,13 +18,15 @@
 	mtx          sync.Mutex
 	balancer     *share.Balancer
 	retryBudgets map[string]*share.RetryBudget
-	settings     func() site.Settings
+	// admissions maps models to the division of their groups.
+	admissions map[string]*modelAdmission
+	settings   func() site.Settings
 	// liveNodes is the number of live nodes, including this one.
 	liveNodes int
 }
 
 func newLoadTracker(zone string, settings func() site.Settings) *loadTracker {
-	return &loadTracker{balancer: share.NewBalancer(zone), retryBudgets: map[string]*share.RetryBudget{}, settings: settings, liveNodes: 1}
+	return &loadTracker{balancer: share.NewBalancer(zone), retryBudgets: map[string]*share.RetryBudget{}, admissions: map[string]*modelAdmission{}, settings: settings, liveNodes: 1}
 }
 
 // withLock calls fn with the balancer while holding the mutex.
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -93,6 +93,11 @@
 		return
 	}
 	front.monitor.add(call)
+	err = front.checkShare(call)
+	if err != nil {
+		front.respondError(reqCtx, call, err)
+		return
+	}
 	attempt, err := front.forwarder.sendWithRetries(call)
 	if err != nil {
 		front.respondError(reqCtx, call, err)
@@ -138,7 +143,7 @@
 		return call, core.Errorf(core.CodeNotReady, "route %s has no configured service", call.route.Name)
 	}
 	call.model = string(hdr.Peek(platform.HeaderModel))
-	call.promptTokens = parsePromptTokens(string(hdr.Peek(platform.HeaderTokenCounts)))
+	call.promptTokens, call.maxOutputTokens = parseTokenCounts(string(hdr.Peek(platform.HeaderTokenCounts)))
 	call.lastEventID = string(hdr.Peek(platform.HeaderLastEventID))
 	call.deadline = now.Add(requestTimeout(call.route, hdr.Peek(platform.HeaderDeadline)))
 	ctx, cancel := context.WithDeadlineCause(context.Background(), call.deadline, errDeadlinePassed)
@@ -148,11 +153,15 @@
 	return call, nil
 }
 
-// parsePromptTokens returns the first of two comma-separated token counts, or
-// zero if it is missing or invalid.
-func parsePromptTokens(val string) int {
-	first, _, _ := strings.Cut(val, ",")
-	num, err := strconv.Atoi(strings.TrimSpace(first))
+// parseTokenCounts returns two comma-separated token counts, the prompt and the
+// maximum output. A count that is missing or invalid is zero.
+func parseTokenCounts(val string) (prompt, maxOutput int) {
+	first, second, _ := strings.Cut(val, ",")
+	return parseCount(first), parseCount(second)
+}
+
+func parseCount(val string) int {
+	num, err := strconv.Atoi(strings.TrimSpace(val))
 	if err != nil || num < 0 {
 		return 0
 	}
@@ -224,7 +233,7 @@
 		if err == nil {
 			front.copyHeader(reqCtx, attempt)
 			reqCtx.SetBody(resp.Body())
-			front.forwarder.recordProgress(call, attempt.server.ID)
+			front.forwarder.recordProgress(call, attempt.server)
 			attempt.close()
 			front.finish(call, resp.Status(), nil, 0)
 			return
@@ -288,6 +297,10 @@
 	// within that time.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 900 * time.Millisecond
+	// minShareRetryAfter and maxShareRetryAfter are for callers of an
+	// organisation that far exceeds its share, which lasts for seconds.
+	minShareRetryAfter = 1200 * time.Millisecond
+	maxShareRetryAfter = 2400 * time.Millisecond
 	// retryAfterOtherNode is for a node that is stopping or not ready yet:
 	// another node accepts the request at once.
 	retryAfterOtherNode = 50 * time.Millisecond
@@ -302,6 +315,9 @@
 	case errors.As(err, &notRun):
 		status = fasthttp.StatusServiceUnavailable
 		after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+		if notRun.overShare {
+			after = minShareRetryAfter + rand.N(maxShareRetryAfter-minShareRetryAfter)
+		}
 		reqCtx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	case errors.Is(err, context.DeadlineExceeded) || core.CodeOf(err) == core.CodeDeadline:
 		status = fasthttp.StatusGatewayTimeout
@@ -353,6 +369,9 @@
 	call.cancel(nil)
 	took := time.Since(call.startedAt)
 	front.metrics.recordRequest(call.route.Kind.String(), status, took.Seconds())
+	if err == nil && events > 0 {
+		front.forwarder.loads.recordOutput(call, events)
+	}
 	if call.firstEventDelay > 0 {
 		front.metrics.recordFirstEvent(call.service.Name, call.firstEventDelay)
 	}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"kumquathinge/core"
 	"kumquathinge/core/share"
 	"kumquathinge/io/mirror"
 )
@@ -46,6 +47,9 @@
 	// ActiveServers are the servers that sent data to the node within the last
 	// round.
 	ActiveServers []string `cbor:"16,keyasint,omitempty"`
+	// Demands is the demand of the node's callers by model and organisation, in
+	// groups.
+	Demands map[string]map[core.OrgName]float64 `cbor:"17,keyasint,omitempty"`
 	// Stopping is set while the node stops. Such a node does not become the
 	// orderer.
 	Stopping bool `cbor:"7,keyasint"`
@@ -81,6 +85,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		peers.sendHeartbeats(now)
+		peers.loads.rebalance(peers.state.table.Load(), peers.state.view.Load(), now)
 		peers.loads.setLiveNodes(peers.checkLiveness(timedOut, now) + 1)
 		sleep(ctx, heartbeatInterval)
 	}
@@ -162,6 +167,7 @@
 		hb.ActiveServers = balancer.ActiveServers(now.Add(-heartbeatInterval))
 		hb.Suspects = append(balancer.StalledServers(streamSilenceTimeout, now), balancer.SlowServers()...)
 	})
+	hb.Demands = peers.loads.demands(now)
 	for _, follower := range peers.followers {
 		hb.NextOffsets = append(hb.NextOffsets, follower.nextOffset.Load())
 	}
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -35,6 +35,9 @@
 	// process was suspended. Another node may have become the orderer
 	// meanwhile.
 	suspendThreshold = 600 * time.Millisecond
+	// activationDelay is the time from becoming active to the first order. It
+	// lets the states that servers reported replace outdated entries.
+	activationDelay = 150 * time.Millisecond
 	// claimRankDelay is added to claimDelay for each reachable node that
 	// precedes this one in the order of names.
 	claimRankDelay = 250 * time.Millisecond
@@ -60,7 +63,9 @@
 
 	planner *place.Planner
 	// coldStart is set if no group served when this node became the orderer.
-	coldStart      bool
+	coldStart bool
+	// activatedAt is when this node last became active.
+	activatedAt    time.Time
 	active         atomic.Bool
 	resumedAt      time.Time
 	faults         map[string]serverFault
@@ -132,10 +137,17 @@
 		return
 	}
 	if ord.planner == nil || ord.planner.Term() != cluster.term {
+		if ord.entriesOutdated(now) {
+			ord.deactivate("entries of servers may be older than an outage of the store")
+			return
+		}
 		ord.planner = place.New(cluster.term)
+		// An earlier term's states may have been changed by another orderer.
+		clear(ord.ordered)
 		ord.coldStart = !slices.ContainsFunc(ord.state.view.Load().Groups(), (*site.Group).Serving)
 	}
 	if !ord.active.Swap(true) {
+		ord.activatedAt = now
 		ord.log.WithFields(logrus.Fields{"event": "orderer_start", "term": cluster.term}).Info("this node is now the active orderer")
 	}
 	ord.pollOrdered(ctx, now)
@@ -145,23 +157,32 @@
 	ord.probeSuspects(ctx, view, now)
 	ord.reprobeFaulty(ctx, now)
 	ord.publishLost(now)
-	ord.sendOrders(ctx, view, now)
+	if now.Sub(ord.activatedAt) >= activationDelay {
+		ord.sendOrders(ctx, view, now)
+	}
 	ord.removeSilentNodes(ctx, cluster, now)
 }
 
 // deactivate stops sending orders. The planner is kept, since the group names
-// and epochs of a term must come from a single one.
+// and epochs of a term must come from a single one. So are the servers that
+// received orders: within the term no other node changes them, and their entries
+// may still be older than these orders when this node becomes active again.
 func (ord *orderer) deactivate(reason string) {
 	if !ord.active.Swap(false) {
 		return
 	}
 	ord.lostSnapshot.Store(nil)
-	// Reported states will be outdated when this node becomes active again.
-	clear(ord.ordered)
 	ord.observedSnapshot.Store(nil)
 	ord.log.WithFields(logrus.Fields{"event": "orderer_stop", "term": ord.planner.Term(), "reason": reason}).Info("this node is no longer the active orderer")
 }
 
+// entriesOutdated reports whether the entries of servers may still show the
+// state before an outage of the store, in which an earlier orderer may have
+// formed groups.
+func (ord *orderer) entriesOutdated(now time.Time) bool {
+	return ord.health.sinceRecovery(now) < observedStateGrace || ord.peers.sinceStoreOutage(now) < observedStateGrace
+}
+
 // blockReason returns why this node must not send orders although the store
 // names it as the orderer: another node may have taken over unnoticed. It is
 // empty if that is ruled out.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -21,6 +21,9 @@
 	// peerTimeoutIntervals is this number of missing heartbeats for peers with
 	// a longer heartbeat interval.
 	peerTimeoutIntervals = 6
+	// demandTimeoutIntervals is the number of heartbeats after which a peer's
+	// demand expires.
+	demandTimeoutIntervals = 3
 	// peerRetention is the time without a heartbeat after which the status of a
 	// peer is deleted. It exceeds any pause of a VM.
 	peerRetention = time.Minute
@@ -76,6 +79,10 @@
 	// in Unix nanoseconds, or zero.
 	unreachableSince atomic.Int64
 
+	// storeOutageSeenAt is when a peer last reported an outage of the store of at
+	// least minExpiryOutage, in Unix nanoseconds, or zero.
+	storeOutageSeenAt atomic.Int64
+
 	// rotation selects the peers that get the next heartbeats. Only the task
 	// that sends heartbeats uses it.
 	rotation share.RoundRobin
@@ -163,6 +170,9 @@
 	if !known || !old.live(now) || old.heartbeat.Incarnation != hb.Incarnation {
 		peers.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": hb.Node, "life": hb.Incarnation, "term": hb.Term}).Info("peer is live")
 	}
+	if hb.StoreOutage >= minExpiryOutage {
+		peers.storeOutageSeenAt.Store(now.UnixNano())
+	}
 	if hb.IsOrderer && len(hb.ObservedStates) > 0 {
 		peers.registry.submitObserved(hb.ObservedStates)
 	}
@@ -171,15 +181,23 @@
 			peers.followers[idx].notePeerOffset(hb.Addr, end, hb.Zone == peers.self.Zone, now)
 		}
 	}
+	peers.loads.updateDemands(hb.Node, hb.Demands, now.Add(max(peerTimeout, demandTimeoutIntervals*hb.Interval)))
 	peers.loads.withLock(func(balancer *share.Balancer) {
 		balancer.UpdatePeer(hb.Node, hb.RequestCounts, hb.Interval, now)
 		balancer.RecordPeerProgress(hb.ActiveServers, now)
+		balancer.RecordContact(hb.Zone, now)
 		for _, id := range hb.LostServers {
 			balancer.MarkLost(id, hb.Interval, now)
 		}
 	})
 }
 
+// sinceStoreOutage returns the time since a peer last reported an outage of the
+// store.
+func (peers *peers) sinceStoreOutage(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - peers.storeOutageSeenAt.Load())
+}
+
 // sendDatagram sends one datagram. Errors are only counted.
 func (peers *peers) sendDatagram(raw []byte, addr string) {
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -108,7 +108,7 @@
 	}
 	num, err := relay.attempt.body.Read(relay.buffer[len(relay.buffer):cap(relay.buffer)])
 	if num > 0 {
-		relay.forwarder.recordProgress(relay.call, relay.attempt.server.ID)
+		relay.forwarder.recordProgress(relay.call, relay.attempt.server)
 		relay.appendRead(num)
 	}
 	switch {
