Divide an overloaded model between organisations by their usual demand

Whoever found a place was admitted, so an organisation that floods took the others' places. Shares (core/admit) thins an organisation's requests to its weighted max-min share, from the demands of all nodes in their heartbeats; the capacity follows the measured utilisation.

--- a/core/admit/shares.go
+++ b/core/admit/shares.go
@@ -12,18 +12,27 @@
 
 const (
 	// demandTimeConstant is the time constant of an organisation's demand.
-	demandTimeConstant = time.Second
+	demandTimeConstant = 500 * time.Millisecond
 	// usualTimeConstant is the time constant of what an organisation usually
 	// asks for, which is its weight. A flood of some seconds hardly changes it.
 	usualTimeConstant = 20 * time.Second
+	// minUsualSeconds is the least time over which the usual demand is averaged.
+	minUsualSeconds = 1.0
+	// learningTime is the time after the start in which the usual demand follows
+	// the demand, usualGrowth the fraction by which it grows at most in a second
+	// after that.
+	learningTime = 8 * time.Second
+	usualGrowth  = 0.02
 	// minWeightRatio is the least weight of an organisation relative to the mean.
 	minWeightRatio = 0.25
 	// targetUtilisation is the utilisation of the groups that a limited load
 	// aims at. Requests that wait beyond it start late.
 	targetUtilisation = 0.95
-	// correctionGain is the change of the correction per second and unit of
-	// difference between the utilisation and its target.
-	correctionGain = 2.0
+	// integralGain is the change of the correction per second and unit of
+	// difference between the utilisation and its target, proportionalGain the
+	// part of the capacity that one unit takes off at once.
+	integralGain     = 0.2
+	proportionalGain = 0.8
 	// minCorrection and maxCorrection limit the ratio of the real capacity of the
 	// groups to the computed one.
 	minCorrection = 0.6
@@ -139,14 +148,15 @@
 	demand := shr.totalDemand(now)
 	shr.updateUsual(demand, elapsed, now)
 	shr.correct(utilisation, min(elapsed, 1))
-	shr.limit(demand, shr.correction*float64(groups))
+	factor := max(minCorrection, shr.correction+proportionalGain*(targetUtilisation-utilisation))
+	shr.limit(demand, factor*float64(groups))
 }
 
 // correct adjusts the correction by the utilisation. While nothing is limited, a
 // low utilisation says nothing about the capacity, so the correction then
 // returns to 1.
 func (shr *Shares) correct(utilisation, elapsed float64) {
-	change := correctionGain * elapsed * (targetUtilisation - utilisation)
+	change := integralGain * elapsed * (targetUtilisation - utilisation)
 	if len(shr.ratios) == 0 && change > 0 {
 		change = min(change, max(0, 1-shr.correction))
 	}
@@ -170,27 +180,31 @@
 }
 
 // updateUsual updates what the organisations usually ask for. The average
-// covers the time since the start until usualTimeConstant has passed.
+// covers the time since the start until usualTimeConstant has passed. After the
+// first learningTime it grows slowly, so that a flood doesn't become usual.
 func (shr *Shares) updateUsual(demand map[core.OrgName]float64, elapsed float64, now time.Time) {
-	weight := min(1, elapsed/max(min(now.Sub(shr.startedAt), usualTimeConstant).Seconds(), elapsed, minUsualSeconds))
+	age := now.Sub(shr.startedAt)
+	weight := min(1, elapsed/max(min(age, usualTimeConstant).Seconds(), elapsed, minUsualSeconds))
 	for org, val := range demand {
-		shr.usual[org] += weight * (val - shr.usual[org])
+		usual := shr.usual[org]
+		change := weight * (val - usual)
+		if age > learningTime {
+			change = min(change, usualGrowth*elapsed*max(usual, minDemand))
+		}
+		shr.usual[org] = usual + change
 	}
-	for org, val := range shr.usual {
+	for org, usual := range shr.usual {
 		if _, asks := demand[org]; asks {
 			continue
 		}
-		if val -= weight * val; val < minDemand {
+		if usual -= weight * usual; usual < minDemand {
 			delete(shr.usual, org)
 		} else {
-			shr.usual[org] = val
+			shr.usual[org] = usual
 		}
 	}
 }
 
-// minUsualSeconds is the least time over which the usual demand is averaged.
-const minUsualSeconds = 1.0
-
 // limit sets the fractions of the organisations' demand that are admitted so
 // that their sum is the capacity.
 func (shr *Shares) limit(demand map[core.OrgName]float64, capacity float64) {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -103,14 +103,14 @@
 	backoff       time.Duration
 	needsSnapshot bool
 	// aheadPeer is a peer that has read further, and wake signals that it was
-	// set. behindSince is when this node learned that a peer is ahead, in Unix
-	// nanoseconds, or zero.
+	// set. behindSince is when this node learned that a peer is ahead, as
+	// storeHealth.elapsed returns it, or zero.
 	aheadPeer   atomic.Pointer[peerPosition]
 	wake        chan struct{}
 	behindSince atomic.Int64
 	updates     chan topicUpdate
 	// cancelRead cancels the pending store read, which began at readStartedAt
-	// in Unix nanoseconds.
+	// as storeHealth.elapsed returns it.
 	cancelRead    atomic.Pointer[context.CancelFunc]
 	readStartedAt atomic.Int64
 
@@ -126,8 +126,8 @@
 	if end <= follower.nextOffset.Load() {
 		return
 	}
-	follower.behindSince.CompareAndSwap(0, now.UnixNano())
-	lag := now.UnixNano() - follower.behindSince.Load()
+	follower.behindSince.CompareAndSwap(0, follower.health.elapsed(now))
+	lag := follower.health.elapsed(now) - follower.behindSince.Load()
 	cancelRead := follower.cancelRead.Load()
 	wait := time.Duration(0)
 	switch {
@@ -136,7 +136,7 @@
 	case !sameZone:
 		wait = peerReadDelay
 	}
-	if cancelRead != nil && now.UnixNano()-follower.readStartedAt.Load() < int64(peerReadDelay) || lag < int64(wait) {
+	if cancelRead != nil && follower.health.elapsed(now)-follower.readStartedAt.Load() < int64(peerReadDelay) || lag < int64(wait) {
 		return
 	}
 	follower.aheadPeer.Store(&peerPosition{addr: addr, endOffset: end})
@@ -291,7 +291,7 @@
 	readCtx, cancelRead := context.WithCancel(ctx)
 	defer cancelRead()
 	sent := time.Now()
-	follower.readStartedAt.Store(sent.UnixNano())
+	follower.readStartedAt.Store(follower.health.elapsed(sent))
 	follower.cancelRead.Store(&cancelRead)
 	recs, next, err := follower.store.Poll(readCtx, follower.topic, from, follower.pollTimeout)
 	follower.cancelRead.Store(nil)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -24,7 +24,7 @@
 	// crossZoneFanout is the largest number of rotating heartbeats per round of
 	// a node that does not read the store. Nodes prefer the servers of their own
 	// zone, so the load of other zones matters less.
-	crossZoneFanout = 12
+	crossZoneFanout = 24
 	// claimantsPerZone is the number of nodes of each zone that get a heartbeat
 	// of the orderer in every round, because they replace it first.
 	claimantsPerZone = 2
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -76,11 +77,11 @@
 	followers []*follower
 
 	// unreachableSince is the time since which no live node reaches the store,
-	// in Unix nanoseconds, or zero.
+	// as storeHealth.elapsed returns it, or zero.
 	unreachableSince atomic.Int64
 
 	// storeOutageSeenAt is when a peer last reported an outage of the store of at
-	// least minExpiryOutage, in Unix nanoseconds, or zero.
+	// least minExpiryOutage, as storeHealth.elapsed returns it, or zero.
 	storeOutageSeenAt atomic.Int64
 
 	// rotation selects the peers that get the next heartbeats. Only the task
@@ -159,7 +160,9 @@
 func (peers *peers) handleHeartbeat(hb heartbeat, now time.Time) {
 	peers.mtx.Lock()
 	old, known := peers.statuses[hb.Node]
-	stale := known && hb.Incarnation < old.heartbeat.Incarnation
+	// An incarnation is a time of day, so one that began after the clock was set
+	// back may be lower than a former one that sends nothing any more.
+	stale := known && hb.Incarnation < old.heartbeat.Incarnation && old.live(now)
 	if !stale {
 		peers.statuses[hb.Node] = peerStatus{heartbeat: hb, receivedAt: now}
 	}
@@ -171,7 +174,7 @@
 		peers.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": hb.Node, "life": hb.Incarnation, "term": hb.Term}).Info("peer is live")
 	}
 	if hb.StoreOutage >= minExpiryOutage {
-		peers.storeOutageSeenAt.Store(now.UnixNano())
+		peers.storeOutageSeenAt.Store(peers.health.elapsed(now))
 	}
 	if hb.IsOrderer && len(hb.ObservedStates) > 0 {
 		peers.registry.submitObserved(hb.ObservedStates)
@@ -195,7 +198,10 @@
 // sinceStoreOutage returns the time since a peer last reported an outage of the
 // store.
 func (peers *peers) sinceStoreOutage(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - peers.storeOutageSeenAt.Load())
+	if seenAt := peers.storeOutageSeenAt.Load(); seenAt > 0 {
+		return time.Duration(peers.health.elapsed(now) - seenAt)
+	}
+	return math.MaxInt64
 }
 
 // sendDatagram sends one datagram. Errors are only counted.
@@ -268,6 +274,6 @@
 		peers.unreachableSince.Store(0)
 		return false
 	}
-	peers.unreachableSince.CompareAndSwap(0, now.UnixNano())
-	return now.UnixNano()-peers.unreachableSince.Load() > int64(unreachableTimeout)
+	peers.unreachableSince.CompareAndSwap(0, peers.health.elapsed(now))
+	return peers.health.elapsed(now)-peers.unreachableSince.Load() > int64(unreachableTimeout)
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -79,6 +79,11 @@
 	return health
 }
 
+// elapsed returns the monotonic time since the start in nanoseconds, at least 1.
+func (health *storeHealth) elapsed(now time.Time) int64 {
+	return max(1, int64(now.Sub(health.startedAt)))
+}
+
 // minExpiryOutage is the shortest outage after which registrations may have
 // expired because servers could not renew them: one of their heartbeats is
 // missing by then.
