Survive malformed records, datagrams and endless answers

Shown and fixed: a record of a server with a negative rank ended every process (index out of range in site.NewView; a huge rank would allocate without bound), a model without a size would divide by zero, an event without end filled the memory until the deadline. Unexpected errors now end one request, datagram or step; an orderer gives its term up. Ruled out by tests that pass without a change: late second answers on a connection in use, endless heads, slow streams that are cut, trickles that never end.

Seen to fail first: TestInvalidServerEntry, TestInvalidModel, TestEndlessBody, TestMalformedInput (panic).

--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -87,6 +87,8 @@
 	if front.draining.Load() {
 		reqCtx.SetConnectionClose()
 	}
+	var call *call
+	defer recoverPanic(front.log, front.metrics, "request", func() { front.abandon(reqCtx, call) })
 	call, err := front.newCall(reqCtx)
 	if err != nil {
 		front.reject(reqCtx, call, err)
@@ -110,6 +112,21 @@
 	front.respondWhole(reqCtx, call, attempt)
 }
 
+// abandon responds to a request whose handling panicked.
+func (front *frontend) abandon(reqCtx *fasthttp.RequestCtx, call *call) {
+	reqCtx.Response.Reset()
+	reqCtx.SetStatusCode(fasthttp.StatusBadGateway)
+	reqCtx.SetConnectionClose()
+	if call == nil {
+		return
+	}
+	front.echoRequestID(reqCtx, call)
+	front.monitor.remove(call)
+	if call.cancel != nil {
+		call.cancel(errPanicked)
+	}
+}
+
 // newCall validates a request and returns its call. The call is never nil. The
 // code of the error is the reason for the rejection.
 func (front *frontend) newCall(reqCtx *fasthttp.RequestCtx) (*call, error) {
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -11,9 +11,12 @@
 
 // nodeMetrics holds the metrics of a node.
 type nodeMetrics struct {
-	set           *metrics.Set
-	probes        *metrics.Counter
-	peerErrors    *metrics.Counter
+	set        *metrics.Set
+	probes     *metrics.Counter
+	peerErrors *metrics.Counter
+	// panics counts the unexpected errors that ended a request, a datagram or a
+	// step of a task.
+	panics        *metrics.Counter
 	logDropped    *metrics.Counter
 	servers       *metrics.Gauge
 	configVersion *metrics.Gauge
@@ -25,6 +28,7 @@
 		set:           set,
 		probes:        set.NewCounter("kumquathinge_probes_total"),
 		peerErrors:    set.NewCounter("kumquathinge_peer_errors_total"),
+		panics:        set.NewCounter("kumquathinge_panics_total"),
 		logDropped:    set.NewCounter("kumquathinge_log_lines_dropped_total"),
 		servers:       set.NewGauge("kumquathinge_servers", nil),
 		configVersion: set.NewGauge("kumquathinge_configuration_version", nil),
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -64,6 +64,9 @@
 	planner *place.Planner
 	// coldStart is set if no group served when this node became the orderer.
 	coldStart bool
+	// failedTerm is a term in which this node no longer acts as the orderer after
+	// an unexpected error.
+	failedTerm int64
 	// activatedAt is when this node last became active.
 	activatedAt    time.Time
 	active         atomic.Bool
@@ -119,6 +122,7 @@
 
 // step performs the work that is due at now.
 func (ord *orderer) step(ctx context.Context, now time.Time) {
+	defer recoverPanic(ord.log, ord.metrics, "orderer", ord.failTerm)
 	// The monotonic clock may stop while the VM is suspended, so the wall clock
 	// is compared.
 	elapsed := now.Round(0).Sub(ord.lastStepAt.Round(0))
@@ -127,7 +131,7 @@
 	}
 	ord.lastStepAt = now
 	cluster := ord.state.cluster.Load()
-	if cluster.term == 0 || cluster.orderer != ord.self {
+	if cluster.term == 0 || cluster.orderer != ord.self || cluster.term == ord.failedTerm {
 		ord.deactivate("another node is the orderer")
 		ord.tryClaim(ctx, cluster, now)
 		return
@@ -163,6 +167,13 @@
 	ord.removeSilentNodes(ctx, cluster, now)
 }
 
+// failTerm gives up the current term after an unexpected error: the state of its
+// planner may be inconsistent. Another node takes over.
+func (ord *orderer) failTerm() {
+	ord.failedTerm = ord.state.cluster.Load().term
+	ord.deactivate("an unexpected error")
+}
+
 // deactivate stops sending orders. The planner is kept, since the group names
 // and epochs of a term must come from a single one. So are the servers that
 // received orders: within the term no other node changes them, and their entries
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -140,21 +140,27 @@
 			sleep(ctx, heartbeatInterval)
 			continue
 		}
-		var pkt datagram
-		err = cbor.Unmarshal(buf[:num], &pkt)
-		switch {
-		case err != nil:
-			peers.metrics.peerErrors.Inc()
-		case pkt.Heartbeat != nil && pkt.Heartbeat.Node != "" && pkt.Heartbeat.Node != peers.self.Node:
-			peers.handleHeartbeat(*pkt.Heartbeat, time.Now())
-		case pkt.Update != nil:
-			peers.deliverUpdate(*pkt.Update)
-			peers.sendUpdate(*pkt.Update, pkt.Forward, nil)
-		}
+		peers.handleDatagram(buf[:num], time.Now())
 	}
 	return nil
 }
 
+// handleDatagram decodes and applies one datagram.
+func (peers *peers) handleDatagram(raw []byte, now time.Time) {
+	defer recoverPanic(peers.log, peers.metrics, "datagram", nil)
+	var pkt datagram
+	err := cbor.Unmarshal(raw, &pkt)
+	switch {
+	case err != nil:
+		peers.metrics.peerErrors.Inc()
+	case pkt.Heartbeat != nil && pkt.Heartbeat.Node != "" && pkt.Heartbeat.Node != peers.self.Node:
+		peers.handleHeartbeat(*pkt.Heartbeat, now)
+	case pkt.Update != nil:
+		peers.deliverUpdate(*pkt.Update)
+		peers.sendUpdate(*pkt.Update, pkt.Forward, nil)
+	}
+}
+
 // handleHeartbeat stores a heartbeat and applies its content. A heartbeat from
 // an earlier incarnation of the node is dropped.
 func (peers *peers) handleHeartbeat(hb heartbeat, now time.Time) {
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -94,6 +94,7 @@
 }
 
 func (reg *serverRegistry) applyChange(change topicChange, now time.Time) {
+	defer recoverPanic(reg.log, reg.metrics, "registry", nil)
 	for _, rec := range change.records {
 		if len(rec.Value) == 0 {
 			reg.remove(rec.Key, change.fromPeer, now)
@@ -168,6 +169,7 @@
 }
 
 func (reg *serverRegistry) publishView() {
+	defer recoverPanic(reg.log, reg.metrics, "view", nil)
 	removed := map[string]*site.Server{}
 	for id, gone := range reg.expired {
 		if time.Since(gone.expiredAt) > unregisteredMaxAge {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -15,6 +15,10 @@
 // some hundred bytes long.
 const initialRelayBuffer = 2048
 
+// maxEventSize is the largest event in bytes that is forwarded. A server that
+// sends more without the end of an event has failed.
+const maxEventSize = 256 << 10
+
 // streamRelay is the body of a streamed response. It forwards only whole
 // events, and resumes the stream on another server if the route allows it. The
 // response header may therefore come from another server than the last event.
@@ -54,19 +58,20 @@
 }
 
 // Read implements io.Reader. It returns data of whole events only.
-func (relay *streamRelay) Read(dst []byte) (int, error) {
+func (relay *streamRelay) Read(dst []byte) (num int, err error) {
+	defer recoverPanic(relay.forwarder.log, relay.forwarder.metrics, "stream", func() { err = errPanicked })
 	for relay.readPos == relay.completeLen {
 		if relay.eof {
 			return 0, io.EOF
 		}
 		relay.compact()
-		err := relay.fill()
+		err = relay.fill()
 		if err != nil {
 			relay.end(err)
 			return 0, err
 		}
 	}
-	num := copy(dst, relay.buffer[relay.readPos:relay.completeLen])
+	num = copy(dst, relay.buffer[relay.readPos:relay.completeLen])
 	relay.readPos += num
 	return num, nil
 }
@@ -103,6 +108,10 @@
 // fill reads once from the server into the buffer. If the server fails, fill
 // resumes the stream on another one.
 func (relay *streamRelay) fill() error {
+	if len(relay.buffer)-relay.completeLen > maxEventSize {
+		relay.attempt.body.Abort()
+		return relay.resume(core.Errorf(core.CodeCutAnswer, "event of more than %d bytes from %s", maxEventSize, relay.attempt.server.ID))
+	}
 	if len(relay.buffer) == cap(relay.buffer) {
 		relay.buffer = append(relay.buffer, make([]byte, cap(relay.buffer))...)[:len(relay.buffer)]
 	}
