Keep spares of a closing group, value new groups by need; no limits right after a start

A pass that closed a group neither held its spares nor counted it, so they were given another model. Shares limit nothing without groups and in the first second.

--- a/core/admit/shares.go
+++ b/core/admit/shares.go
@@ -18,6 +18,8 @@
 	usualTimeConstant = 20 * time.Second
 	// minUsualSeconds is the least time over which the usual demand is averaged.
 	minUsualSeconds = 1.0
+	// startupTime is the time after the start in which nothing is limited.
+	startupTime = time.Second
 	// learningTime is the time after the start in which the usual demand follows
 	// the demand, usualGrowth the fraction by which it grows at most in a second
 	// after that.
@@ -138,8 +140,14 @@
 
 // Rebalance updates the shares for the number of serving groups and their mean
 // utilisation, the fraction of the batch that requests occupy, waiting ones
-// included. Call it about every 100 ms.
+// included. Call it about every 100 ms. Nothing is limited without groups and in
+// the first second: after a start of all entry VMs the callers of some time
+// arrive together, which says nothing about the demand.
 func (shr *Shares) Rebalance(groups int, utilisation float64, now time.Time) {
+	if groups == 0 {
+		clear(shr.ratios)
+		return
+	}
 	elapsed := now.Sub(shr.rebalanceAt).Seconds()
 	if shr.startedAt.IsZero() {
 		shr.startedAt, elapsed = now, 0
@@ -148,6 +156,9 @@
 	demand := shr.totalDemand(now)
 	shr.updateUsual(demand, elapsed, now)
 	shr.correct(utilisation, min(elapsed, 1))
+	if now.Sub(shr.startedAt) < startupTime {
+		return
+	}
 	factor := max(minCorrection, shr.correction+proportionalGain*(targetUtilisation-utilisation))
 	shr.limit(demand, factor*float64(groups))
 }
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -133,14 +133,13 @@
 func (ps *pass) replaceMembers(info *groupInfo, hist *groupHistory, members, spares []*site.Server) {
 	head := info.current.Head()
 	if ps.operational(info) {
-		if hist.closeSentAt.IsZero() {
-			if ps.addOrder(head, site.Order{Kind: site.OrderClose, Group: info.name, Epoch: info.current.Epoch}) {
-				hist.closeSentAt = ps.input.Now
-			}
-			return
+		// The spares stay with the group until its requests have finished.
+		ps.hold(spares...)
+		if hist.closeSentAt.IsZero() && ps.addOrder(head, site.Order{Kind: site.OrderClose, Group: info.name, Epoch: info.current.Epoch}) {
+			hist.closeSentAt = ps.input.Now
 		}
-		if ps.input.Now.Sub(hist.closeSentAt) < closeTimeout {
-			ps.hold(spares...)
+		if hist.closeSentAt.IsZero() || ps.input.Now.Sub(hist.closeSentAt) < closeTimeout {
+			ps.countGroup(info.current.Domain, info.model.Name, len(members))
 			return
 		}
 	}
--- a/core/place/warmup.go
+++ b/core/place/warmup.go
@@ -63,13 +63,19 @@
 	// partialDiscount lowers the value of an incomplete group that waits for
 	// servers to be added to its domain.
 	partialDiscount = 0.8
+	// unneededUtilisation is the utilisation up to which one more group has only
+	// minNewGroupNeed of its weight.
+	unneededUtilisation = 0.6
+	minNewGroupNeed     = 0.2
 	// minShortageScarcity is the least weight of a group that waits for a member:
 	// the utilisation lags behind its loss.
 	minShortageScarcity = 1.4
 	// minScarcity and maxScarcity limit the weight of a model. A group that is
 	// not needed now replaces one that is lost later.
 	minScarcity = 0.7
-	maxScarcity = 1.5
+	// noGroupScarcity is the weight of a model without any group.
+	noGroupScarcity = 4.0
+	maxScarcity     = 1.5
 )
 
 // scarcity returns the weight of a model's next group by its utilisation, which
@@ -77,6 +83,9 @@
 // with the fewest servers for its initial share counts as full.
 func (ps *pass) scarcity(model *site.Model, plans []*loadPlan) float64 {
 	servers := float64(ps.serverCountByModel[model.Name])
+	if servers == 0 && ps.input.Utilisation != nil {
+		return noGroupScarcity
+	}
 	total := servers
 	for _, plan := range plans {
 		total += float64(plan.available[model.Name] / model.GroupSize * model.GroupSize)
@@ -178,7 +187,7 @@
 	available %= model.GroupSize
 	switch missing := model.GroupSize - available; {
 	case ps.input.Utilisation != nil || missing > reserve:
-		best = max(best, completionValue(weight, missing, reserve))
+		best = max(best, completionValue(ps.newGroupWeight(model, weight), missing, reserve))
 	case available == 0:
 		best = max(best, freshGroupFactor*weight)
 	default:
@@ -187,6 +196,16 @@
 	return max(best, spare(available))
 }
 
+// newGroupWeight returns the weight of one more group of a model. Groups beyond
+// the demand are worth less than spares.
+func (ps *pass) newGroupWeight(model *site.Model, weight float64) float64 {
+	if ps.input.Utilisation == nil {
+		return weight
+	}
+	need := (ps.input.Utilisation[model.Name] - unneededUtilisation) / (fullUtilisation - unneededUtilisation)
+	return weight * min(max(need, minNewGroupNeed), 1)
+}
+
 // lossProbability returns the probability that more than the given number of
 // servers of the groups of a model in one domain are lost during a load.
 // Losses come as a Poisson process. Those of a large group come in pairs, since
@@ -257,8 +276,9 @@
 				if held == model.Name || num == 0 || !settled {
 					continue
 				}
-				gain := ps.loadValue(plan, model, plan.available[model.Name], num) - ps.holderValue(plan, held)
-				consider(warmUp{plan: plan, model: model, replaced: held, gain: gain}, leastGain)
+				lost := ps.holderValue(plan, held)
+				gain := ps.loadValue(plan, model, plan.available[model.Name], num) - lost
+				consider(warmUp{plan: plan, model: model, replaced: held, gain: gain}, min(leastGain, lost+minLoadValue))
 			}
 		}
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -36,6 +36,8 @@
 	triedServers []string
 	// promptTokens and maxOutputTokens are the token counts of the request.
 	promptTokens, maxOutputTokens int
+	// manyNodes is set if many nodes send requests to the same servers.
+	manyNodes bool
 	// firstEventDelay is the time from startedAt to the first event,
 	// maxEventGap the longest interval between two events.
 	firstEventDelay, maxEventGap time.Duration
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -62,6 +62,17 @@
 	return loads.retryBudget(service).AllowRetry(now, loads.liveNodes)
 }
 
+// manyNodesMin is the number of live nodes from which the counts of requests at
+// a server are too old to let requests wait there.
+const manyNodesMin = 24
+
+// manyNodes reports whether there are at least manyNodesMin live nodes.
+func (loads *loadTracker) manyNodes() bool {
+	loads.mtx.Lock()
+	defer loads.mtx.Unlock()
+	return loads.liveNodes >= manyNodesMin
+}
+
 // setLiveNodes sets how many nodes share the retry budgets.
 func (loads *loadTracker) setLiveNodes(num int) {
 	loads.mtx.Lock()
@@ -72,7 +83,7 @@
 const (
 	// queueRatio is the number of requests that may wait at a server, as a
 	// fraction of its slots. A request behind only a few others still starts in
-	// time.
+	// time. With many nodes, whose counts are older, as many come unseen.
 	queueRatio = 0.15
 	// resumeQueueRatio is this fraction for a request that may already have
 	// run: a late end of a stream is better than a broken stream. Servers queue
@@ -88,6 +99,9 @@
 		slots = call.service.Engine.Slots
 	}
 	fraction := queueRatio
+	if call.manyNodes {
+		fraction = 0
+	}
 	if call.possibleRuns.Load() > 0 {
 		fraction = resumeQueueRatio
 	}
@@ -107,6 +121,7 @@
 // chooseServer returns the server for the next attempt.
 func (fwd *forwarder) chooseServer(call *call) (*site.Server, error) {
 	now := time.Now()
+	call.manyNodes = fwd.loads.manyNodes()
 	if call.timeLeft(now) <= 0 {
 		return nil, fwd.noServerError(call, core.Errorf(core.CodeDeadline, "the deadline passed"))
 	}
