--- a/core/admit/shares.go
+++ b/core/admit/shares.go
@@ -30,6 +30,9 @@
 	// targetUtilisation is the utilisation of the groups that a limited load
 	// aims at. Requests that wait beyond it start late.
 	targetUtilisation = 0.95
+	// roomUtilisation is the utilisation up to which nothing is limited, whatever
+	// the demand is estimated to be.
+	roomUtilisation = 0.8
 	// integralGain is the change of the correction per second and unit of
 	// difference between the utilisation and its target, proportionalGain the
 	// part of the capacity that one unit takes off at once.
@@ -140,8 +143,8 @@
 
 // Rebalance updates the shares for the number of serving groups and their mean
 // utilisation, the fraction of the batch that requests occupy, waiting ones
-// included. Call it about every 100 ms. Nothing is limited without groups and in
-// the first second: after a start of all entry VMs the callers of some time
+// included. Call it about every 100 ms. Nothing is limited while the groups have
+// room, without groups, and in the first second: after a start of all entry VMs the callers of some time
 // arrive together, which says nothing about the demand.
 func (shr *Shares) Rebalance(groups int, utilisation float64, now time.Time) {
 	if groups == 0 {
@@ -156,7 +159,8 @@
 	demand := shr.totalDemand(now)
 	shr.updateUsual(demand, elapsed, now)
 	shr.correct(utilisation, min(elapsed, 1))
-	if now.Sub(shr.startedAt) < startupTime {
+	if now.Sub(shr.startedAt) < startupTime || utilisation < roomUtilisation {
+		clear(shr.ratios)
 		return
 	}
 	factor := max(minCorrection, shr.correction+proportionalGain*(targetUtilisation-utilisation))
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -16,15 +16,16 @@
 	// generated tokens to the requested maximum.
 	outputSmoothing = 0.02
 	// initialOutputRatio is this ratio before a stream has ended.
-	initialOutputRatio = 0.7
+	initialOutputRatio = 0.5
 )
 
 // modelAdmission divides the groups of one model between organisations.
 type modelAdmission struct {
 	shares *admit.Shares
 	// outputRatio is the mean ratio of the generated tokens to the maximum that
-	// the requests allow.
-	outputRatio float64
+	// the requests allow, over outputSamples streams.
+	outputRatio   float64
+	outputSamples int
 }
 
 // admission returns the admission of a model. The caller holds the mutex.
@@ -92,7 +93,8 @@
 	defer loads.mtx.Unlock()
 	adm := loads.admission(call.model)
 	ratio := float64(events*call.service.Engine.TokensPerEvent) / float64(call.maxOutputTokens)
-	adm.outputRatio += outputSmoothing * (min(ratio, 1) - adm.outputRatio)
+	adm.outputSamples++
+	adm.outputRatio += max(outputSmoothing, 1/float64(1+adm.outputSamples)) * (min(ratio, 1) - adm.outputRatio)
 }
 
 // demands returns the demand of this node's callers by model and organisation.
