--- a/core/place/form.go
+++ b/core/place/form.go
@@ -62,7 +62,7 @@
 				continue
 			}
 			cand := candidate{model: model, domain: domain, loadsNeeded: ps.loadsNeeded(model, srvs), supplyRatio: ps.supplyRatio(model), displacedGroups: ps.displacedGroups(model, len(freeByDomain[domain]))}
-			if cand.loadsNeeded > 0 && !(ps.input.BeforeTraffic && ps.settled(domain)) {
+			if cand.loadsNeeded > 0 && (!ps.input.BeforeTraffic || !ps.settled(domain)) {
 				continue
 			}
 			if !ps.needed(model) && len(freeByDomain[domain])-model.GroupSize < len(ps.serversByDomain[domain])/serversPerSpare {
--- a/core/site/server.go
+++ b/core/site/server.go
@@ -86,12 +86,11 @@
 	OrderOpen
 	OrderClose
 	OrderLeave
-	OrderStage
 )
 
 // String returns the name of the kind.
 func (kind OrderKind) String() string {
-	return [...]string{"join", "open", "close", "leave", "stage"}[kind]
+	return [...]string{"join", "open", "close", "leave"}[kind]
 }
 
 // Order is a command of the orderer to one server.
--- a/entry/callmonitor.go
+++ b/entry/callmonitor.go
@@ -96,25 +96,34 @@
 	if srv == nil || call.cancelAttempt.Load() == nil || !call.route.Retryable() {
 		return
 	}
-	var cause error
-	switch {
-	case call.sinceProgress(now) > callCheckInterval && monitor.zoneUnreachable(srv.Zone, now):
-		cause = errZoneUnreachable
-	case call.service.Engine != nil && view.Server(srv.ID) != nil && view.Server(srv.ID).Group.Epoch != srv.Group.Epoch:
-		cause = errGroupChanged
-	case call.service.Engine != nil && (call.sinceProgress(now) > connSilenceTimeout || call.sinceProgress(now) > streamSilenceTimeout && monitor.serverSilent(srv.ID, now)):
-		cause = errServerSilent
-	case call.service.Engine == nil && call.sinceProgress(now) > time.Duration(retryObjectiveFactor*float64(call.route.TargetLatency)):
-		cause = errServerSilent
-	default:
-		return
-	}
-	if int(call.possibleRuns.Load())+1 >= call.maxAttempts() || !monitor.hasAlternative(call, srv, now) {
+	cause := monitor.abortCause(call, srv, view, now)
+	if cause == nil || int(call.possibleRuns.Load())+1 >= call.maxAttempts() || !monitor.hasAlternative(call, srv, now) {
 		return
 	}
 	call.abortAttempt(cause)
 }
 
+// abortCause returns why the attempt of a call should be aborted, or nil.
+func (monitor *callMonitor) abortCause(call *call, srv *site.Server, view *site.View, now time.Time) error {
+	silent := call.sinceProgress(now)
+	if silent > callCheckInterval && monitor.zoneUnreachable(srv.Zone, now) {
+		return errZoneUnreachable
+	}
+	if call.service.Engine == nil {
+		if silent > time.Duration(retryObjectiveFactor*float64(call.route.TargetLatency)) {
+			return errServerSilent
+		}
+		return nil
+	}
+	if current := view.Server(srv.ID); current != nil && current.Group.Epoch != srv.Group.Epoch {
+		return errGroupChanged
+	}
+	if silent > connSilenceTimeout || silent > streamSilenceTimeout && monitor.serverSilent(srv.ID, now) {
+		return errServerSilent
+	}
+	return nil
+}
+
 // zoneUnreachable reports whether nothing arrives from a zone.
 func (monitor *callMonitor) zoneUnreachable(zone string, now time.Time) bool {
 	out := false
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -84,6 +84,7 @@
 	timedOut := map[string]bool{}
 	for ctx.Err() == nil {
 		now := time.Now()
+		peers.trackStoreContact(now)
 		peers.sendHeartbeats(now)
 		peers.loads.rebalance(peers.state.table.Load(), peers.state.view.Load(), now)
 		peers.loads.setLiveNodes(peers.checkLiveness(timedOut, now) + 1)
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -44,7 +44,7 @@
 )
 
 // orderer forms the groups while this node is the elected leader: it probes
-// suspect servers and sends the orders (join, open, close, leave, stage) that
+// suspect servers and sends the orders (join, open, close, leave) that
 // core/place plans. Otherwise it watches the current orderer and claims the
 // role when that one fails.
 type orderer struct {
@@ -189,9 +189,9 @@
 
 // entriesOutdated reports whether the entries of servers may still show the
 // state before an outage of the store, in which an earlier orderer may have
-// formed groups.
+// formed groups. A store that turns some nodes away goes on taking entries.
 func (ord *orderer) entriesOutdated(now time.Time) bool {
-	return ord.health.sinceRecovery(now) < observedStateGrace || ord.peers.sinceStoreOutage(now) < observedStateGrace
+	return ord.peers.sinceStoreOutage(now) < observedStateGrace
 }
 
 // blockReason returns why this node must not send orders although the store
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -80,9 +80,10 @@
 	// as storeHealth.elapsed returns it, or zero.
 	unreachableSince atomic.Int64
 
-	// storeOutageSeenAt is when a peer last reported an outage of the store of at
-	// least minExpiryOutage, as storeHealth.elapsed returns it, or zero.
-	storeOutageSeenAt atomic.Int64
+	// storeContactAt is when a node last reached the store, as far as this node
+	// knows, and storeRecoveredAt when that ended an outage for all nodes, as
+	// storeHealth.elapsed returns it, or zero.
+	storeContactAt, storeRecoveredAt atomic.Int64
 
 	// rotation selects the peers that get the next heartbeats. Only the task
 	// that sends heartbeats uses it.
@@ -179,9 +180,6 @@
 	if !known || !old.live(now) || old.heartbeat.Incarnation != hb.Incarnation {
 		peers.log.WithFields(logrus.Fields{"event": "dependency_regained", "dependency": "peer", "peer": hb.Node, "life": hb.Incarnation, "term": hb.Term}).Info("peer is live")
 	}
-	if hb.StoreOutage >= minExpiryOutage {
-		peers.storeOutageSeenAt.Store(peers.health.elapsed(now))
-	}
 	if hb.IsOrderer && len(hb.ObservedStates) > 0 {
 		peers.registry.submitObserved(hb.ObservedStates)
 	}
@@ -201,11 +199,28 @@
 	})
 }
 
-// sinceStoreOutage returns the time since a peer last reported an outage of the
-// store.
+// trackStoreContact records whether any node reaches the store.
+func (peers *peers) trackStoreContact(now time.Time) {
+	reached := peers.readsStore(now) && peers.health.unavailableFor(now) == 0
+	peers.eachLive(now, func(hb heartbeat) { reached = reached || hb.storeReachable() })
+	if !reached {
+		return
+	}
+	elapsed := peers.health.elapsed(now)
+	if last := peers.storeContactAt.Swap(elapsed); last > 0 && elapsed-last >= int64(minExpiryOutage) {
+		peers.storeRecoveredAt.Store(elapsed)
+	}
+}
+
+// sinceStoreOutage returns the time since the last outage of the store for all
+// nodes, zero while no node reaches it.
 func (peers *peers) sinceStoreOutage(now time.Time) time.Duration {
-	if seenAt := peers.storeOutageSeenAt.Load(); seenAt > 0 {
-		return time.Duration(peers.health.elapsed(now) - seenAt)
+	elapsed := peers.health.elapsed(now)
+	if last := peers.storeContactAt.Load(); last > 0 && elapsed-last >= int64(minExpiryOutage) {
+		return 0
+	}
+	if recoveredAt := peers.storeRecoveredAt.Load(); recoveredAt > 0 {
+		return time.Duration(elapsed - recoveredAt)
 	}
 	return math.MaxInt64
 }
--- a/model/emul/cluster.go
+++ b/model/emul/cluster.go
@@ -241,10 +241,8 @@
 		if !eng.running {
 			continue
 		}
-		for _, job := range []*loadJob{eng.joinLoad, eng.staging} {
-			if job != nil && !job.fast {
-				num++
-			}
+		if eng.joinLoad != nil && !eng.joinLoad.fast {
+			num++
 		}
 	}
 	return num
@@ -336,24 +334,10 @@
 			return site.OrderConflict
 		}
 		eng.leave()
-	case site.OrderStage:
-		return cl.stage(eng, ord.Model)
 	}
 	return site.OrderDone
 }
 
-func (cl *Cluster) stage(eng *Engine, model string) site.OrderResult {
-	switch {
-	case eng.server.HasStaged(model):
-		return site.OrderDone
-	case eng.staging != nil && eng.staging.model == model:
-		return site.OrderAccepted
-	}
-	eng.staging = &loadJob{model: model, left: cl.table.Model(model).LoadTime}
-	cl.recordLoad()
-	return site.OrderAccepted
-}
-
 func (cl *Cluster) recordLoad() {
 	if !cl.beforeTraffic {
 		cl.loadStarts = append(cl.loadStarts, cl.now)
@@ -390,8 +374,6 @@
 	switch {
 	case warm:
 		eng.joinLeft = sameModelJoinTime
-	case eng.staging != nil && eng.staging.model == model.Name:
-		eng.joinLoad, eng.staging = eng.staging, nil
 	case eng.server.HasStaged(model.Name):
 	default:
 		job := &loadJob{model: model.Name, left: model.LoadTime, fast: cl.beforeTraffic}
--- a/model/emul/engine.go
+++ b/model/emul/engine.go
@@ -35,8 +35,8 @@
 	highestEpoch int64
 	lastModel    string
 	members      []string
-	// joinLoad is the load of a join, staging the load of a stage order.
-	joinLoad, staging *loadJob
+	// joinLoad is the load of a join.
+	joinLoad *loadJob
 	// joinLeft is the time that a join takes after its load.
 	joinLeft time.Duration
 	// openAt is when an opening completes.
@@ -57,9 +57,8 @@
 // Members returns the IDs of the members of the server's group, the head first.
 func (eng *Engine) Members() []string { return eng.members }
 
-// Loading reports whether the server is loading a model onto its host without
-// joining a group.
-func (eng *Engine) Loading() bool { return eng.staging != nil }
+// Loading reports whether the server is loading a model onto its host.
+func (eng *Engine) Loading() bool { return eng.joinLoad != nil }
 
 // Running reports whether the process runs.
 func (eng *Engine) Running() bool { return eng.running }
@@ -75,11 +74,6 @@
 		return
 	}
 	progress(eng.joinLoad, step, share)
-	progress(eng.staging, step, share)
-	if eng.staging != nil && eng.staging.left <= 0 {
-		eng.server.StagedModels = []string{eng.staging.model}
-		eng.staging = nil
-	}
 	if eng.server.Group.State == site.GroupJoining && (eng.joinLoad == nil || eng.joinLoad.left <= 0) {
 		if eng.joinLoad != nil {
 			eng.server.StagedModels = []string{eng.joinLoad.model}
--- a/model/emul/pattern.go
+++ b/model/emul/pattern.go
@@ -116,7 +116,7 @@
 		return eris.Errorf("pattern %s: has %d models, the bound needs 2", pat.Name, len(pat.Models))
 	}
 	for _, spec := range pat.Models {
-		if spec.Name == "" || spec.Size < 1 || spec.Load <= 0 || spec.Warm <= 0 || spec.Demand <= 0 || spec.Worth <= 0 || spec.Share < 0 {
+		if !spec.valid() {
 			return eris.Errorf("pattern %s: model %q needs a name and positive size, load, warm, demand and worth", pat.Name, spec.Name)
 		}
 	}
@@ -128,36 +128,35 @@
 	return nil
 }
 
+func (spec ModelSpec) valid() bool {
+	return spec.Name != "" && spec.Size > 0 && spec.Share >= 0 && min(spec.Load, spec.Warm) > 0 && min(spec.Demand, spec.Worth) > 0
+}
+
+// eventFields are the fields that an event of a kind needs.
+type eventFields struct{ count, duration, demand bool }
+
+var fieldsByKind = map[EventKind]eventFields{
+	EventLose: {count: true}, EventAdd: {count: true}, EventDrain: {count: true, duration: true}, EventSlow: {count: true, duration: true},
+	EventDark: {duration: true}, EventOrderer: {}, EventDemand: {duration: true, demand: true},
+}
+
 func (pat *Pattern) checkEvent(evt Event) error {
-	if evt.At < 0 || evt.At > pat.Length {
+	fields, known := fieldsByKind[evt.Kind]
+	switch {
+	case !known:
+		return eris.Errorf("kind %q is unknown", evt.Kind)
+	case evt.At < 0 || evt.At > pat.Length:
 		return eris.New("at is outside of the pattern's length")
-	}
-	if evt.Zone < 0 || evt.Zone >= pat.Zones {
+	case evt.Zone < 0 || evt.Zone >= pat.Zones:
 		return eris.Errorf("zone %d does not exist", evt.Zone)
-	}
-	switch evt.Kind {
-	case EventLose, EventAdd:
-		if evt.Count < 1 {
-			return eris.Errorf("%s needs a positive count", evt.Kind)
-		}
-	case EventDrain, EventSlow:
-		if evt.Count < 1 || evt.For <= 0 {
-			return eris.Errorf("%s needs a positive count and for", evt.Kind)
-		}
-	case EventDark:
-		if evt.For <= 0 {
-			return eris.New("dark needs a positive for")
-		}
-	case EventOrderer:
-	case EventDemand:
-		if evt.Factor <= 0 || evt.For <= 0 {
-			return eris.New("demand needs a positive factor and for")
-		}
-		if !slices.ContainsFunc(pat.Models, func(spec ModelSpec) bool { return spec.Name == evt.Model }) {
-			return eris.Errorf("model %q does not exist", evt.Model)
-		}
-	default:
-		return eris.Errorf("kind %q is unknown", evt.Kind)
+	case fields.count && evt.Count < 1:
+		return eris.Errorf("%s needs a positive count", evt.Kind)
+	case fields.duration && evt.For <= 0:
+		return eris.Errorf("%s needs a positive for", evt.Kind)
+	case fields.demand && evt.Factor <= 0:
+		return eris.Errorf("%s needs a positive factor", evt.Kind)
+	case fields.demand && !slices.ContainsFunc(pat.Models, func(spec ModelSpec) bool { return spec.Name == evt.Model }):
+		return eris.Errorf("model %q does not exist", evt.Model)
 	}
 	return nil
 }
--- a/model/emul/run.go
+++ b/model/emul/run.go
@@ -295,7 +295,7 @@
 
 func (eng *Engine) idleReason() IdleReason {
 	switch {
-	case eng.joinLoad != nil || eng.staging != nil:
+	case eng.joinLoad != nil:
 		return IdleLoading
 	case eng.server.Group.State != site.GroupNone && len(eng.members) > 1:
 		return IdleIncomplete
