--- a/core/admit/shares.go
+++ b/core/admit/shares.go
@@ -33,6 +33,9 @@
 	// roomUtilisation is the utilisation up to which nothing is limited, whatever
 	// the demand is estimated to be.
 	roomUtilisation = 0.8
+	// calmInterval is the interval at which the demand is summed up over all entry
+	// VMs while nothing is limited.
+	calmInterval = 480 * time.Millisecond
 	// integralGain is the change of the correction per second and unit of
 	// difference between the utilisation and its target, proportionalGain the
 	// part of the capacity that one unit takes off at once.
@@ -151,6 +154,10 @@
 		clear(shr.ratios)
 		return
 	}
+	if utilisation < roomUtilisation && now.Sub(shr.rebalanceAt) < calmInterval {
+		clear(shr.ratios)
+		return
+	}
 	elapsed := now.Sub(shr.rebalanceAt).Seconds()
 	if shr.startedAt.IsZero() {
 		shr.startedAt, elapsed = now, 0
