Take a zone for unreachable only by the silence of three nodes, and for 8 s at most

A zone whose servers had sent nothing for 0.3 s counted as unreachable, so they got no requests and stayed silent. Ruled out: lost groups and shares (the logs show three open groups and no refusal by shares).

--- a/core/share/balancer.go
+++ b/core/share/balancer.go
@@ -91,7 +91,7 @@
 
 // NewBalancer returns a Balancer for a node in the zone.
 func NewBalancer(zone string) *Balancer {
-	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}, zones: zoneContacts{lastContact: map[string]time.Time{}}}
+	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}, zones: newZoneContacts()}
 }
 
 func (bal *Balancer) statsOf(id string) *serverStats {
--- a/core/share/load_test.go
+++ b/core/share/load_test.go
@@ -47,7 +47,7 @@
 				continue
 			}
 			bal.UpdatePeer(fmt.Sprintf("n%d-%d", zone, num), loads, 4*reportInterval, now)
-			bal.RecordContact(zoneName(zone), now)
+			bal.RecordNodeContact(zoneName(zone), fmt.Sprintf("n%d-%d", zone, num), now)
 		}
 	}
 }
@@ -93,6 +93,22 @@
 	assert.Equal(t, bal.Choose(heads, slots, nil, now).Server.Zone, zoneName(0))
 }
 
+// TestZoneWithoutNodes checks that a zone stays in use whose servers are idle and
+// whose only node has stopped, and that a zone which was cut is tried again even
+// if nothing comes from it.
+func TestZoneWithoutNodes(t *testing.T) {
+	bal, _ := newZones()
+	bal.RecordNodeContact("z1", "n1-0", start)
+	bal.RecordContact("z2", start)
+	report(bal, start, nil, 3)
+	for _, silence := range []time.Duration{time.Second, 4 * time.Second, time.Minute} {
+		now := start.Add(silence)
+		report(bal, now, nil, 0)
+		assert.Assert(t, !bal.ZoneUnreachable("z1", now) && !bal.ZoneUnreachable("z2", now), "after %v", silence)
+		assert.Equal(t, bal.ZoneUnreachable("z3", now), silence < 10*time.Second, "after %v", silence)
+	}
+}
+
 // TestAloneKeepsZones checks that a node which gets no messages at all takes no
 // zone for unreachable: the fault may be its own.
 func TestAloneKeepsZones(t *testing.T) {
--- a/core/share/zones.go
+++ b/core/share/zones.go
@@ -9,6 +9,13 @@
 	// ownContactTimeout is the age of the last contact with another zone, or with
 	// the node's own, up to which this node itself counts as connected.
 	ownContactTimeout = 150 * time.Millisecond
+	// minZoneNodes is the number of nodes of a zone that must have been heard
+	// before their common silence counts. A zone with fewer nodes may lose all of
+	// them while its servers go on.
+	minZoneNodes = 3
+	// maxZoneSilence is the time after which a silent zone counts as reachable
+	// again: without requests its servers send nothing.
+	maxZoneSilence = 8 * time.Second
 )
 
 // zoneContacts decides which availability zones can't be reached. One decision
@@ -18,16 +25,31 @@
 	// lastContact maps zones to the last message from one of their nodes or
 	// servers.
 	lastContact map[string]time.Time
+	// nodes maps zones to the nodes that have been heard.
+	nodes map[string]map[string]bool
+}
+
+func newZoneContacts() zoneContacts {
+	return zoneContacts{lastContact: map[string]time.Time{}, nodes: map[string]map[string]bool{}}
 }
 
 func (zones *zoneContacts) record(zone string, now time.Time) { zones.lastContact[zone] = now }
 
+func (zones *zoneContacts) recordNode(zone, node string, now time.Time) {
+	zones.record(zone, now)
+	if zones.nodes[zone] == nil {
+		zones.nodes[zone] = map[string]bool{}
+	}
+	zones.nodes[zone][node] = true
+}
+
 // unreachable reports whether nothing has arrived from a zone for
-// zoneContactTimeout while messages from another zone arrive. A zone that has
-// never been in contact counts as reachable.
+// zoneContactTimeout while messages from another zone arrive. A zone of which
+// fewer than minZoneNodes nodes have been heard counts as reachable.
 func (zones *zoneContacts) unreachable(zone string, now time.Time) bool {
 	last, known := zones.lastContact[zone]
-	if !known || now.Sub(last) <= zoneContactTimeout {
+	silence := now.Sub(last)
+	if !known || len(zones.nodes[zone]) < minZoneNodes || silence <= zoneContactTimeout || silence > maxZoneSilence {
 		return false
 	}
 	for other, at := range zones.lastContact {
@@ -38,9 +60,14 @@
 	return false
 }
 
-// RecordContact records a message from a node or a server of a zone.
+// RecordContact records a message from a server of a zone.
 func (bal *Balancer) RecordContact(zone string, now time.Time) { bal.zones.record(zone, now) }
 
+// RecordNodeContact records a message from a node of a zone.
+func (bal *Balancer) RecordNodeContact(zone, node string, now time.Time) {
+	bal.zones.recordNode(zone, node, now)
+}
+
 // ZoneUnreachable reports whether a zone can't be reached.
 func (bal *Balancer) ZoneUnreachable(zone string, now time.Time) bool {
 	return bal.zones.unreachable(zone, now)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -192,7 +192,7 @@
 	peers.loads.withLock(func(balancer *share.Balancer) {
 		balancer.UpdatePeer(hb.Node, hb.RequestCounts, hb.Interval, now)
 		balancer.RecordPeerProgress(hb.ActiveServers, now)
-		balancer.RecordContact(hb.Zone, now)
+		balancer.RecordNodeContact(hb.Zone, hb.Node, now)
 		for _, id := range hb.LostServers {
 			balancer.MarkLost(id, hb.Interval, now)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,7 @@
 }{
 	{404, "a node did not exit after SIGTERM, because the goroutine that receives heartbeats kept running (commit c60dc85)"},
 	{1796384022829, "the check counted only the SIGTERM that a node was sent 1 ms after SIGKILL, and reported its exit by SIGKILL as an error"},
+	{1796403216844, "an idle zone without nodes counted as unreachable after 0.3 s, so its servers got no requests and never counted as reachable again"},
 }
 
 // buildProgram builds kumentry and returns the path of the binary.
