--- a/core/place/form.go
+++ b/core/place/form.go
@@ -134,9 +134,8 @@
 	return max(ps.input.Utilisation[model.Name], minUtilisation) * float64(ps.serverCountByModel[model.Name])
 }
 
-// availableFor returns the servers of a domain that a new group of the model
-// may use. One holder of another model stays as the spare of the groups that
-// the domain has of it, if these are busy.
+// availableFor returns the servers that a group of the model may use: those that
+// hold it, and before traffic, when loads are quick, all of them.
 func (ps *pass) availableFor(model *site.Model, domain string, srvs []*site.Server) []*site.Server {
 	if ps.input.BeforeTraffic {
 		return srvs
