Log the parts of a prompt and the events of a failed attempt

The logs couldn't tell whether the requests that were on ended servers had anything in common, nor how far they had come. Attempts that failed and requests that ended now name the shareable parts of their prompts, decoded in platform, and a failed attempt the number of events that its server had sent.

--- a/core/names.go
+++ b/core/names.go
@@ -41,6 +41,9 @@
 // at most once.
 type IdempotencyKey string
 
+// PromptPart identifies a part of a prompt that several requests may share.
+type PromptPart string
+
 // Role is the stage of inference that a group performs.
 type Role string
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -155,6 +155,7 @@
 	fwd.log.WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": call.id, "server": srv.ID, "outcome": out, "error": cause,
 		"sent": call.possibleRuns.Load(), "tried": len(call.triedServers), "left": call.timeLeft(now), "again": reason == "", "reason": reason,
+		"events": call.attemptEvents, "parts": call.promptParts,
 	}).Info("attempt failed")
 	if reason == "" {
 		return nil
@@ -206,6 +207,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(call.ctx)
 	call.server.Store(srv)
+	call.attemptEvents = 0
 	call.recordProgress(now)
 	call.cancelAttempt.Store(&cancel)
 	fwd.beginRequest(srv.ID, call.promptTokens, now)
--- a/entry/call.go
+++ b/entry/call.go
@@ -36,6 +36,11 @@
 	triedServers []string
 	// promptTokens and maxOutputTokens are the token counts of the request.
 	promptTokens, maxOutputTokens int
+	// promptParts are the parts of the prompt that other requests may share.
+	promptParts []core.PromptPart
+	// attemptEvents is the number of events that the server of the current
+	// attempt has sent.
+	attemptEvents int
 	// manyNodes is set if many nodes send requests to the same servers.
 	manyNodes bool
 	// firstEventDelay is the time from startedAt to the first event,
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -161,6 +161,7 @@
 	}
 	call.model = string(hdr.Peek(platform.HeaderModel))
 	call.promptTokens, call.maxOutputTokens = parseTokenCounts(string(hdr.Peek(platform.HeaderTokenCounts)))
+	call.promptParts = platform.DecodePromptParts(string(hdr.Peek(platform.HeaderPromptParts)))
 	call.lastEventID = string(hdr.Peek(platform.HeaderLastEventID))
 	call.deadline = now.Add(requestTimeout(call.route, hdr.Peek(platform.HeaderDeadline)))
 	ctx, cancel := context.WithDeadlineCause(context.Background(), call.deadline, errDeadlinePassed)
@@ -395,7 +396,7 @@
 	logEntry := front.log.WithFields(logrus.Fields{
 		"event": "request", "request": call.id, "route": call.route.Name, "kind": call.route.Kind, "service": call.service.Name, "model": call.model,
 		"organisation": call.org, "status": status, "code": core.CodeOf(err), "took": took, "sent": call.possibleRuns.Load(), "tried": len(call.triedServers),
-		"first": call.firstEventDelay, "gap": call.maxEventGap, "events": events, "last_event": call.lastEventID, "version": front.configVersion(),
+		"first": call.firstEventDelay, "gap": call.maxEventGap, "events": events, "last_event": call.lastEventID, "parts": call.promptParts, "version": front.configVersion(),
 	})
 	if err != nil {
 		logEntry = logEntry.WithField("error", err)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -143,7 +143,9 @@
 	relay.attempt.recordEvent(relay.call.recordEvent(time.Now()))
 	start := relay.completeLen
 	relay.completeLen = from + pos + len(eventEnd)
-	relay.eventCount += bytes.Count(relay.buffer[start:relay.completeLen], eventEnd)
+	num = bytes.Count(relay.buffer[start:relay.completeLen], eventEnd)
+	relay.eventCount += num
+	relay.call.attemptEvents += num
 	if relay.skipUntilID != "" {
 		relay.dropDelivered(start)
 	}
