Quarantine the parts of prompts on which servers crash

Cause: the platform's path had no memory of crashes at all, and core/crash counts by the fingerprint of a whole request, of which no two are alike here.

crash.PartTracker counts by the parts of a prompt. A part is a candidate if the connection of its request ended with the server before the first event; what had begun goes before what waited. It is quarantined after two crashes of different servers without a success in between, if nothing else can be the cause in one of them, or after three. A part that had a success lately needs three that nothing else explains, servers that end at one moment count only for what was on most of them, and data from the server disproves a crash. After the first crash requests with an unproved part wait for one trial; attempts without an event are taken back. A quarantine ends with a trial, and lasts twice as long after another crash. Nodes exchange evidence, successes and quarantines in their heartbeats, and at once when a server ends.

--- /dev/null
+++ b/core/crash/parts.go
@@ -0,0 +1,403 @@
+package crash
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kumquathinge/core"
+)
+
+// Subject is what a request may have in common with others.
+type Subject struct {
+	// Shared are the parts of its prompt that other requests may contain.
+	Shared []core.PromptPart
+	// Own identifies the request as a whole, so that a resend has the same one.
+	Own core.PromptPart
+}
+
+// ServerRun identifies one run of a backend server: a restart has another start
+// time, in Unix milliseconds.
+type ServerRun struct {
+	ID          string `cbor:"1,keyasint"`
+	StartMillis int64  `cbor:"2,keyasint"`
+}
+
+// PartsConfig holds the limits of a PartTracker. Zero fields select defaults.
+type PartsConfig struct {
+	// QuarantineTime is the duration of the first quarantine of a part. Each
+	// further one lasts twice as long, up to MaxQuarantineTime.
+	QuarantineTime, MaxQuarantineTime time.Duration
+	// SuspicionTime is the retention time of the evidence of a crash.
+	SuspicionTime time.Duration
+	// SettleTime is the time after a crash within which the reports of other
+	// nodes arrive. No suspect is tried before.
+	SettleTime time.Duration
+	// AlibiTime is the age up to which an earlier success keeps a part from being
+	// suspected after a single crash.
+	AlibiTime time.Duration
+	// MaxCrashes and MaxQuarantined are the largest numbers of own crashes and of
+	// quarantines that are kept and exported, MaxProved the number of parts whose
+	// last success is kept.
+	MaxCrashes, MaxQuarantined, MaxProved int
+}
+
+const (
+	defaultPartQuarantineTime    = 30 * time.Second
+	defaultPartMaxQuarantineTime = 10 * time.Minute
+	defaultPartSuspicionTime     = 30 * time.Second
+	defaultSettleTime            = 200 * time.Millisecond
+	defaultAlibiTime             = time.Minute
+	defaultMaxCrashes            = 32
+	defaultMaxQuarantined        = 64
+	defaultMaxProved             = 4096
+
+	// commonCauseWindow is the time within which the ends of several servers may
+	// have one cause, such as the loss of their fabric domain.
+	commonCauseWindow = 100 * time.Millisecond
+	// retractTime is the time after the break of a connection from which data from
+	// the server shows that it had not ended. Reports of older data have arrived by
+	// then. A server does not start again within maxRetractTime.
+	retractTime    = 250 * time.Millisecond
+	maxRetractTime = time.Second
+	// otherTrialDelay is the additional delay of the trial of a suspect on a node
+	// that did not see the crash itself, or not as the first by name. On top of it,
+	// the nodes take turns of trialTurn.
+	otherTrialDelay = 300 * time.Millisecond
+	trialTurn       = 300 * time.Millisecond
+	// probationFactor is the time after a quarantine, as a multiple of it, for
+	// which a part is tried alone before it is forgotten.
+	probationFactor = 10
+	// certainCrashes is the number of crashes from which a part is quarantined
+	// although other parts were present each time.
+	certainCrashes = 3
+)
+
+func (cfg PartsConfig) withDefaults() PartsConfig {
+	cfg.QuarantineTime = cmp.Or(cfg.QuarantineTime, defaultPartQuarantineTime)
+	cfg.MaxQuarantineTime = cmp.Or(cfg.MaxQuarantineTime, defaultPartMaxQuarantineTime)
+	cfg.SuspicionTime = cmp.Or(cfg.SuspicionTime, defaultPartSuspicionTime)
+	cfg.SettleTime = cmp.Or(cfg.SettleTime, defaultSettleTime)
+	cfg.AlibiTime = cmp.Or(cfg.AlibiTime, defaultAlibiTime)
+	cfg.MaxCrashes = cmp.Or(cfg.MaxCrashes, defaultMaxCrashes)
+	cfg.MaxQuarantined = cmp.Or(cfg.MaxQuarantined, defaultMaxQuarantined)
+	cfg.MaxProved = cmp.Or(cfg.MaxProved, defaultMaxProved)
+	return cfg
+}
+
+// evidence is what one node knows of the end of a server: the parts of its
+// requests that had begun without an event, and of those that had not begun.
+type evidence struct {
+	at             time.Time
+	begun, waiting subjects
+}
+
+// subjects is a set of shared parts and one of whole requests.
+type subjects struct {
+	shared, own map[core.PromptPart]struct{}
+}
+
+func (sub *subjects) add(req Subject) {
+	if sub.shared == nil {
+		sub.shared, sub.own = map[core.PromptPart]struct{}{}, map[core.PromptPart]struct{}{}
+	}
+	for _, part := range req.Shared {
+		sub.shared[part] = struct{}{}
+	}
+	if req.Own != "" {
+		sub.own[req.Own] = struct{}{}
+	}
+}
+
+func (sub *subjects) empty() bool { return sub.size() == 0 }
+
+// quarantine is a period in which requests with a part are refused.
+type quarantine struct {
+	at, until time.Time
+	// count is the number of quarantines of the part in a row.
+	count   int
+	servers []string
+}
+
+// probation returns the time until which the part is tried alone.
+func (qua quarantine) probation() time.Time {
+	return qua.until.Add(probationFactor * qua.until.Sub(qua.at))
+}
+
+// PartTracker finds the parts of prompts on which backend servers crash. Use
+// NewPartTracker. It is not safe for concurrent use.
+type PartTracker struct {
+	cfg  PartsConfig
+	node string
+	// nodes is the number of live nodes.
+	nodes int
+	// crashes are the ends of servers that this node observed.
+	crashes map[ServerRun]*evidence
+	peers   map[string]peerParts
+	// proved are the successes at this node, peerProved those that peers reported.
+	// They are separate so that reports are not passed on, which would make them
+	// appear later with each hop.
+	proved, peerProved successes
+	quarantines        map[core.PromptPart]quarantine
+	// trial is the subject that this node tries, if onTrial is set.
+	trial   Subject
+	onTrial bool
+
+	// suspects maps the suspected parts to the time of their first crash, as of
+	// evaluatedAt, unless stale is set.
+	suspects map[core.PromptPart]suspicion
+	// mentioned are the shared parts in the evidence of all nodes.
+	mentioned   map[core.PromptPart]struct{}
+	evaluatedAt time.Time
+	// stale is set if this node's evidence has changed since, reported if that of
+	// a peer has.
+	stale, reported bool
+	// urgent is set if peers should get a report at once.
+	urgent  bool
+	changes []PartChange
+}
+
+// suspicion is the state of a part that may have crashed servers.
+type suspicion struct {
+	since   time.Time
+	servers []string
+}
+
+// NewPartTracker returns a PartTracker of a node that knows of no crash.
+func NewPartTracker(node string, cfg PartsConfig) *PartTracker {
+	cfg = cfg.withDefaults()
+	return &PartTracker{
+		cfg: cfg, node: node, nodes: 1, crashes: map[ServerRun]*evidence{}, peers: map[string]peerParts{}, proved: newSuccesses(cfg.MaxProved), peerProved: newSuccesses(cfg.MaxProved),
+		quarantines: map[core.PromptPart]quarantine{}, suspects: map[core.PromptPart]suspicion{},
+	}
+}
+
+// SetNodes sets the number of live nodes, including this one.
+func (tr *PartTracker) SetNodes(num int) { tr.nodes = num }
+
+// Interrupted records that the connection of a request to a server ended before
+// the first event of its answer. begun is set if the answer had begun. Requests
+// beyond the limits are not recorded.
+func (tr *PartTracker) Interrupted(run ServerRun, req Subject, begun bool, now time.Time) {
+	ev := tr.crashes[run]
+	if ev == nil {
+		tr.expireCrashes(now)
+		if len(tr.crashes) >= tr.cfg.MaxCrashes {
+			return
+		}
+		ev = &evidence{at: now}
+		tr.crashes[run] = ev
+	}
+	if begun {
+		ev.begun.add(req)
+		tr.urgent = true
+	} else {
+		ev.waiting.add(req)
+	}
+	tr.stale = true
+}
+
+// TakeUrgent reports whether evidence or a quarantine has been added since the
+// last call that peers should get at once.
+func (tr *PartTracker) TakeUrgent() bool {
+	out := tr.urgent
+	tr.urgent = false
+	return out
+}
+
+// Proved records that a server answers the request beyond the point at which
+// servers crash. It clears the request's parts.
+func (tr *PartTracker) Proved(req Subject, now time.Time) {
+	for _, part := range req.Shared {
+		tr.proved.record(part, now)
+	}
+	if req.Own != "" && (tr.involved(req.Own) || tr.quarantines[req.Own].count > 0) {
+		tr.proved.record(req.Own, now)
+	}
+	if !tr.idle() {
+		tr.stale = true
+	}
+}
+
+// involved reports whether the request is in the evidence of a crash.
+func (tr *PartTracker) involved(own core.PromptPart) bool {
+	for _, ev := range tr.crashes {
+		_, begun := ev.begun.own[own]
+		_, waiting := ev.waiting.own[own]
+		if begun || waiting {
+			return true
+		}
+	}
+	return false
+}
+
+// Retract drops the evidence of servers that turn out not to have ended. active
+// returns the time of the last data from a server at any node, zero if unknown.
+func (tr *PartTracker) Retract(active func(id string) time.Time, now time.Time) {
+	for run, ev := range tr.crashes {
+		if now.Sub(ev.at) < maxRetractTime && active(run.ID).After(ev.at.Add(retractTime)) {
+			delete(tr.crashes, run)
+			tr.stale = true
+		}
+	}
+}
+
+// lastProved returns the time of the last success of a part at any node, zero
+// if there is none.
+func (tr *PartTracker) lastProved(part core.PromptPart) time.Time {
+	own, other := tr.proved.last(part), tr.peerProved.last(part)
+	if other.After(own) {
+		return other
+	}
+	return own
+}
+
+// PartDecision is the decision on a request. Until is the end of a quarantine,
+// Part the part that decided, and Servers the servers that ended under it.
+type PartDecision struct {
+	Disposition Disposition
+	Part        core.PromptPart
+	Servers     []string
+	Until       time.Time
+}
+
+// idle reports whether nothing is suspected or quarantined by any node.
+func (tr *PartTracker) idle() bool {
+	return len(tr.crashes) == 0 && len(tr.peers) == 0 && len(tr.quarantines) == 0
+}
+
+// Decide returns the disposition of a request. An isolated one may be sent only
+// if StartTrial allows it.
+func (tr *PartTracker) Decide(req Subject, now time.Time) PartDecision {
+	if tr.idle() {
+		return PartDecision{}
+	}
+	tr.evaluate(now)
+	out := PartDecision{}
+	for _, part := range append(slices.Clone(req.Shared), req.Own) {
+		if qua, ok := tr.quarantines[part]; ok && now.Before(qua.until) {
+			return PartDecision{Disposition: Quarantined, Part: part, Servers: qua.servers, Until: qua.until}
+		}
+		if sus, ok := tr.suspects[part]; ok && part != req.Own {
+			out = PartDecision{Disposition: Isolated, Part: part, Servers: sus.servers}
+		}
+	}
+	return out
+}
+
+// StartTrial reports whether this node may send a request that Decide isolates,
+// and if so records that it runs. A node runs one trial at a time, and nodes
+// take turns for a part: the first by name that saw the crash begins.
+func (tr *PartTracker) StartTrial(req Subject, now time.Time) bool {
+	if tr.onTrial {
+		return false
+	}
+	tr.evaluate(now)
+	for _, part := range req.Shared {
+		sus, ok := tr.suspects[part]
+		if ok && (now.Before(sus.since.Add(tr.trialDelay(part))) || tr.triedByPeer(part)) {
+			return false
+		}
+	}
+	tr.trial, tr.onTrial = req, true
+	return true
+}
+
+// EndTrial records that the trial of this node has ended.
+func (tr *PartTracker) EndTrial() { tr.trial, tr.onTrial = Subject{}, false }
+
+// trialDelay returns the time after a crash at which this node may try a part.
+func (tr *PartTracker) trialDelay(part core.PromptPart) time.Duration {
+	if tr.firstWitness(part) {
+		return tr.cfg.SettleTime
+	}
+	fraction := float64(xxhash.Sum64String(tr.node+"/"+string(part))%1000) / 1000
+	return tr.cfg.SettleTime + otherTrialDelay + time.Duration(fraction*float64(tr.nodes)*float64(trialTurn))
+}
+
+// firstWitness reports whether this node is the first by name of those that saw
+// a crash with the part.
+func (tr *PartTracker) firstWitness(part core.PromptPart) bool {
+	for name, peer := range tr.peers {
+		for _, ev := range peer.crashes {
+			if name < tr.node && ev.contains(part) {
+				return false
+			}
+		}
+	}
+	return tr.witnessed(part)
+}
+
+// witnessed reports whether this node saw a crash with the part.
+func (tr *PartTracker) witnessed(part core.PromptPart) bool {
+	for _, ev := range tr.crashes {
+		if ev.contains(part) {
+			return true
+		}
+	}
+	return false
+}
+
+func (ev *evidence) contains(part core.PromptPart) bool {
+	_, begun := ev.begun.shared[part]
+	_, waiting := ev.waiting.shared[part]
+	return begun || waiting
+}
+
+func (tr *PartTracker) triedByPeer(part core.PromptPart) bool {
+	for _, peer := range tr.peers {
+		if slices.Contains(peer.trial, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// expireCrashes drops the evidence that is older than the suspicion time.
+func (tr *PartTracker) expireCrashes(now time.Time) {
+	expired := func(_ ServerRun, ev *evidence) bool { return now.Sub(ev.at) >= tr.cfg.SuspicionTime }
+	maps.DeleteFunc(tr.crashes, expired)
+	for name, peer := range tr.peers {
+		maps.DeleteFunc(peer.crashes, expired)
+		if len(peer.crashes) == 0 && !now.Before(peer.expiresAt) {
+			delete(tr.peers, name)
+		}
+	}
+}
+
+// PartChange is a change of what a node holds of a part.
+type PartChange struct {
+	Kind    PartChangeKind
+	Part    core.PromptPart
+	Servers []string
+	Until   time.Time
+}
+
+// PartChangeKind is the kind of a PartChange.
+type PartChangeKind uint8
+
+// Kinds of changes.
+const (
+	PartSuspected PartChangeKind = iota
+	PartQuarantined
+	PartCleared
+)
+
+// String returns the name of the kind.
+func (kind PartChangeKind) String() string {
+	return [...]string{"suspected", "quarantined", "cleared"}[kind]
+}
+
+// TakeChanges evaluates the evidence and returns the changes since the last
+// call.
+func (tr *PartTracker) TakeChanges(now time.Time) []PartChange {
+	if !tr.idle() || len(tr.suspects) > 0 {
+		tr.evaluate(now)
+	}
+	out := tr.changes
+	tr.changes = nil
+	return out
+}
--- /dev/null
+++ b/core/crash/parts_test.go
@@ -0,0 +1,256 @@
+package crash_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"kumquathinge/core"
+	"kumquathinge/core/crash"
+)
+
+// Limits that the users set for a part that crashes servers.
+const (
+	maxPartCrashes   = 5
+	maxSentLater     = 3
+	knownAfter       = 3 * time.Second
+	minSoundServed   = 0.9
+	partSeeds        = 12
+	scenarioLength   = 26 * time.Second
+	soundCountedFrom = 6 * time.Second
+)
+
+// checkParts checks the limits for each deadly part of a finished simulation.
+func checkParts(t *testing.T, cl *partsCluster) {
+	t.Helper()
+	for _, part := range cl.cfg.deadly {
+		crashes := cl.deadCrashes[part]
+		later := 0
+		if len(crashes) >= maxPartCrashes {
+			for _, sent := range cl.deadlySent[part] {
+				if sent.at.After(crashes[maxPartCrashes-1].Add(knownAfter)) {
+					later++
+				}
+			}
+		}
+		assert.Assert(t, later <= maxSentLater, "%s: %d crashes, %d requests sent afterwards", part, len(crashes), later)
+		if len(crashes) > 0 {
+			known := crashes[min(len(crashes), maxPartCrashes)-1].Add(knownAfter)
+			late := slices.IndexFunc(crashes, func(at time.Time) bool { return at.After(known) })
+			assert.Assert(t, late < 0 || len(crashes)-late <= maxSentLater, "%s: crashes at %v", part, crashes)
+		}
+	}
+	assert.Assert(t, float64(cl.soundServed) >= minSoundServed*float64(cl.soundAsked), "%d of %d sound requests served", cl.soundServed, cl.soundAsked)
+}
+
+// TestCrashingPartInCluster plays parts that crash servers in clusters of 4 and
+// 119 VMs. It guards against requests that share a part and crash one server
+// after another, and against sound requests that are refused beside them.
+func TestCrashingPartInCluster(t *testing.T) {
+	base := partsScenario{length: scenarioLength, countFrom: soundCountedFrom, deadly: []core.PromptPart{"deadly"}}
+	small, large := base, base
+	small.nodes, small.heads, small.rate = 4, 6, 60
+	large.nodes, large.heads, large.rate = 119, 90, 600
+	for _, size := range []partsScenario{small, large} {
+		for _, tt := range []struct {
+			name   string
+			change func(*partsScenario)
+		}{
+			{"rare", func(cfg *partsScenario) { cfg.share = 0.01 }},
+			{"some", func(cfg *partsScenario) { cfg.share = 0.05 }},
+			{"two parts", func(cfg *partsScenario) { cfg.share, cfg.deadly = 0.05, []core.PromptPart{"deadly", "deadly2"} }},
+			{"nodes start anew", func(cfg *partsScenario) {
+				cfg.share, cfg.restarts = 0.05, []time.Duration{900 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second, 9 * time.Second}
+			}},
+			{"nodes are cut off", func(cfg *partsScenario) {
+				cfg.share, cfg.cuts = 0.05, []time.Duration{3 * time.Second, 10 * time.Second}
+			}},
+			{"other servers end", func(cfg *partsScenario) { cfg.share, cfg.losses = 0.05, 0.1 }},
+			{"becomes sound", func(cfg *partsScenario) {
+				cfg.share, cfg.deadlyUntil, cfg.length = 0.05, 10*time.Second, 50*time.Second
+			}},
+		} {
+			t.Run(fmt.Sprintf("%d VMs, %s", size.nodes, tt.name), func(t *testing.T) {
+				t.Parallel()
+				seeds := partSeeds
+				if size.nodes > 4 {
+					seeds = 2
+				}
+				for seed := range seeds {
+					cfg := size
+					tt.change(&cfg)
+					cfg.seed = uint64(seed)
+					checkParts(t, runParts(cfg))
+				}
+			})
+		}
+	}
+}
+
+func subjectOf(parts ...core.PromptPart) crash.Subject {
+	return crash.Subject{Shared: parts, Own: "request-" + parts[len(parts)-1]}
+}
+
+func runOf(id string) crash.ServerRun { return crash.ServerRun{ID: id, StartMillis: 1} }
+
+// TestPartEvidence checks what each kind of evidence does to a part.
+func TestPartEvidence(t *testing.T) {
+	begin := time.Unix(1_000_000, 0)
+	at := func(millis int) time.Time { return begin.Add(time.Duration(millis) * time.Millisecond) }
+	req := subjectOf("first", "second")
+	for _, tt := range []struct {
+		name string
+		play func(tr *crash.PartTracker)
+		want crash.Disposition
+	}{
+		{"nothing", func(*crash.PartTracker) {}, crash.Allowed},
+		{"one crash", func(tr *crash.PartTracker) { tr.Interrupted(runOf("a"), req, true, at(0)) }, crash.Isolated},
+		{"two crashes", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), subjectOf("second"), true, at(0))
+			tr.Interrupted(runOf("b"), subjectOf("second"), true, at(1000))
+		}, crash.Quarantined},
+		{"two requests on one server", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Interrupted(runOf("a"), req, true, at(10))
+		}, crash.Isolated},
+		{"a success in between", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Proved(req, at(500))
+			tr.Interrupted(runOf("b"), req, true, at(1000))
+		}, crash.Allowed},
+		{"success of both before", func(tr *crash.PartTracker) {
+			tr.Proved(req, at(0))
+			tr.Interrupted(runOf("a"), req, true, at(500))
+			tr.Interrupted(runOf("b"), req, true, at(1000))
+		}, crash.Allowed},
+		{"success long before", func(tr *crash.PartTracker) {
+			tr.Proved(req, at(-100_000))
+			tr.Interrupted(runOf("a"), req, true, at(500))
+		}, crash.Isolated},
+		{"three crashes after a success", func(tr *crash.PartTracker) {
+			tr.Proved(req, at(0))
+			for num := range 3 {
+				tr.Interrupted(runOf(fmt.Sprint(num)), req, true, at(500+num*300))
+			}
+		}, crash.Quarantined},
+		{"another request had begun", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), subjectOf("other"), true, at(0))
+			tr.Interrupted(runOf("a"), req, false, at(0))
+		}, crash.Allowed},
+		{"servers end together", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Interrupted(runOf("b"), subjectOf("x"), true, at(20))
+			tr.Interrupted(runOf("c"), subjectOf("y"), true, at(40))
+		}, crash.Allowed},
+		{"the server goes on", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Retract(func(string) time.Time { return at(400) }, at(450))
+		}, crash.Allowed},
+		{"the server is back later", func(tr *crash.PartTracker) {
+			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Retract(func(string) time.Time { return at(1400) }, at(1450))
+		}, crash.Isolated},
+		{"explained by another part", func(tr *crash.PartTracker) {
+			tr.Proved(subjectOf("first"), at(-5000))
+			for num := range 3 {
+				tr.Interrupted(runOf(fmt.Sprint(num)), subjectOf("first", "deadly"), true, at(num*300))
+			}
+		}, crash.Allowed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := crash.NewPartTracker("n", crash.PartsConfig{})
+			tt.play(tr)
+			assert.Equal(t, tr.Decide(req, at(1500)).Disposition, tt.want)
+		})
+	}
+}
+
+// TestPartQuarantineEnds checks that a quarantine ends with one trial, and that
+// a further crash begins a longer one.
+func TestPartQuarantineEnds(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	cfg := crash.PartsConfig{QuarantineTime: 10 * time.Second}
+	req := subjectOf("first", "deadly")
+	tr := crash.NewPartTracker("n", cfg)
+	tr.Proved(subjectOf("first"), now)
+	for num := range 2 {
+		now = now.Add(time.Second)
+		tr.Interrupted(runOf(fmt.Sprint(num)), req, true, now)
+	}
+	decision := tr.Decide(req, now)
+	assert.Equal(t, decision.Disposition, crash.Quarantined)
+	assert.Equal(t, decision.Part, core.PromptPart("deadly"))
+	assert.DeepEqual(t, decision.Servers, []string{"0", "1"})
+	assert.Equal(t, decision.Until, now.Add(cfg.QuarantineTime))
+	assert.Equal(t, tr.Decide(subjectOf("first"), now).Disposition, crash.Allowed)
+
+	now = now.Add(cfg.QuarantineTime)
+	assert.Equal(t, tr.Decide(req, now).Disposition, crash.Isolated)
+	assert.Assert(t, !tr.StartTrial(req, now))
+	now = now.Add(2 * time.Second)
+	assert.Assert(t, tr.StartTrial(req, now))
+	assert.Assert(t, !tr.StartTrial(req, now), "one trial at a time")
+	tr.Interrupted(runOf("2"), req, true, now)
+	tr.EndTrial()
+	decision = tr.Decide(req, now)
+	assert.Equal(t, decision.Disposition, crash.Quarantined)
+	assert.Equal(t, decision.Until, now.Add(2*cfg.QuarantineTime))
+
+	now = now.Add(2*cfg.QuarantineTime + 2*time.Second)
+	assert.Assert(t, tr.StartTrial(req, now))
+	tr.Proved(req, now.Add(time.Second))
+	tr.EndTrial()
+	assert.Equal(t, tr.Decide(req, now.Add(time.Second)).Disposition, crash.Allowed)
+}
+
+// TestPartKnownToPeers checks that a quarantine reaches peers, also those that
+// start after its witness ended, and that a success anywhere ends it.
+func TestPartKnownToPeers(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	req := subjectOf("deadly")
+	one, two, late := crash.NewPartTracker("1", crash.PartsConfig{}), crash.NewPartTracker("2", crash.PartsConfig{}), crash.NewPartTracker("3", crash.PartsConfig{})
+	one.Interrupted(runOf("a"), req, true, now)
+	two.Interrupted(runOf("b"), req, true, now.Add(time.Second))
+	now = now.Add(time.Second)
+	two.UpdatePeer("1", one.Export(now), now)
+	assert.Equal(t, two.Decide(req, now).Disposition, crash.Quarantined)
+	late.UpdatePeer("2", two.Export(now), now)
+	assert.Equal(t, late.Decide(req, now).Disposition, crash.Quarantined)
+	changes := late.TakeChanges(now)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Kind, crash.PartQuarantined)
+
+	one.Proved(req, now.Add(time.Second))
+	now = now.Add(2 * time.Second)
+	late.UpdatePeer("1", one.Export(now), now)
+	assert.Equal(t, late.Decide(req, now).Disposition, crash.Allowed)
+}
+
+// TestPartLimits checks that the memory and the reports of a tracker are
+// bounded, whatever happens, and that impossible reports do no harm.
+func TestPartLimits(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tr := crash.NewPartTracker("n", crash.PartsConfig{})
+	for num := range 10_000 {
+		part := core.PromptPart(fmt.Sprint(num))
+		tr.Proved(subjectOf("p"+part), now)
+		tr.Interrupted(runOf(fmt.Sprint(num/4)), subjectOf(part), true, now)
+		now = now.Add(time.Millisecond)
+	}
+	report := tr.Export(now)
+	assert.Assert(t, len(report.Crashes) <= 12)
+	for _, rep := range report.Crashes {
+		assert.Assert(t, len(rep.Begun) <= 24)
+	}
+	bad := &crash.PartsReport{Proved: map[core.PromptPart]time.Duration{"x": -time.Hour}, Trial: []core.PromptPart{""}}
+	for num := range 1000 {
+		bad.Quarantines = append(bad.Quarantines, crash.QuarantineReport{Part: core.PromptPart(fmt.Sprint("q", num)), Age: -1 << 60, Left: 1 << 60, Count: -5})
+		bad.Crashes = append(bad.Crashes, crash.EndReport{Run: runOf(fmt.Sprint(num)), Age: -1 << 60, Begun: slices.Repeat([]core.PromptPart{"b"}, 100)})
+	}
+	tr.UpdatePeer("peer", bad, now)
+	assert.Assert(t, len(tr.Export(now).Quarantines) <= 24)
+	assert.Equal(t, tr.Decide(subjectOf("q0"), now.Add(time.Hour*24)).Disposition, crash.Allowed)
+}
--- a/core/share/balancer.go
+++ b/core/share/balancer.go
@@ -251,6 +251,16 @@
 	return out
 }
 
+// LastActive returns when a server last sent data to this node or, as far as a
+// peer reported it, to another one, zero if that is unknown.
+func (bal *Balancer) LastActive(id string) time.Time {
+	last := bal.peerProgressAt[id]
+	if stats := bal.statsByServer[id]; stats != nil && stats.progressed && stats.lastProgressAt.After(last) {
+		last = stats.lastProgressAt
+	}
+	return last
+}
+
 // lastProgress returns when the server last sent data to this node or a peer, or
 // when this node's first request was sent to it. A server that other nodes
 // receive data from is busy, not lost.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -43,6 +43,8 @@
 	closed    bool
 	// started is set when the server has begun to execute the request.
 	started bool
+	// answeredAt is when the header of the response arrived.
+	answeredAt time.Time
 }
 
 // recordEvent records an event of the stream and the interval since the
@@ -58,6 +60,15 @@
 	attempt.started = true
 }
 
+// recordProof records that the server answers the call beyond the point at which
+// servers crash, once for each call.
+func (attempt *attempt) recordProof() {
+	if !attempt.call.proved {
+		attempt.call.proved = true
+		attempt.forwarder.guard.proved(attempt.call)
+	}
+}
+
 // close ends the attempt. The connection is reused if the response was read to
 // its end.
 func (attempt *attempt) close() {
@@ -68,6 +79,7 @@
 	_ = attempt.body.Close()
 	attempt.cancel(nil)
 	attempt.call.cancelAttempt.Store(nil)
+	attempt.forwarder.guard.endTrial(attempt.call)
 	waiting := attempt.call.promptTokens
 	if attempt.started {
 		waiting = 0
@@ -82,6 +94,7 @@
 	log     *logrus.Logger
 	metrics *nodeMetrics
 	loads   *loadTracker
+	guard   *crashGuard
 }
 
 // beginRequest counts a request as in flight at a server. Its prompt tokens
@@ -114,8 +127,13 @@
 // a *notRunError only if the request certainly did not run.
 func (fwd *forwarder) sendWithRetries(call *call) (*attempt, error) {
 	for {
+		err := fwd.guard.admit(call)
+		if err != nil {
+			return nil, err
+		}
 		srv, err := fwd.chooseServer(call)
 		if err != nil {
+			fwd.guard.endTrial(call)
 			return nil, err
 		}
 		out, attempt, err := fwd.tryServer(call, srv)
@@ -123,6 +141,7 @@
 		if out == outcomeAnswered {
 			return attempt, nil
 		}
+		fwd.guard.endTrial(call)
 		err = fwd.checkRetry(call, srv, out, err)
 		if err != nil {
 			return nil, err
@@ -155,7 +174,7 @@
 	fwd.log.WithFields(logrus.Fields{
 		"event": "attempt_failed", "request": call.id, "server": srv.ID, "outcome": out, "error": cause,
 		"sent": call.possibleRuns.Load(), "tried": len(call.triedServers), "left": call.timeLeft(now), "again": reason == "", "reason": reason,
-		"events": call.attemptEvents, "parts": call.promptParts,
+		"events": call.attemptEvents.Load(), "parts": call.subject.Shared,
 	}).Info("attempt failed")
 	if reason == "" {
 		return nil
@@ -182,6 +201,9 @@
 type notRunError struct {
 	cause  error
 	reason string
+	// retryAfter is the time after which the caller should try again, zero for
+	// the default.
+	retryAfter time.Duration
 	// overShare is set if the organisation far exceeds its share.
 	overShare bool
 }
@@ -207,7 +229,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(call.ctx)
 	call.server.Store(srv)
-	call.attemptEvents = 0
+	call.attemptEvents.Store(0)
+	call.abortedBy.Store(nil)
 	call.recordProgress(now)
 	call.cancelAttempt.Store(&cancel)
 	fwd.beginRequest(srv.ID, call.promptTokens, now)
@@ -221,9 +244,10 @@
 		cancel(nil)
 		call.cancelAttempt.Store(nil)
 		fwd.endRequest(srv.ID, call.promptTokens)
+		fwd.guard.interrupted(call, srv, err, false)
 		return fwd.recordFailure(call, srv, err), nil, err
 	}
-	attempt := &attempt{server: srv, body: body, cancel: cancel, forwarder: fwd, call: call}
+	attempt := &attempt{server: srv, body: body, cancel: cancel, forwarder: fwd, call: call, answeredAt: time.Now()}
 	out, err := fwd.classifyResponse(call, attempt)
 	if out != outcomeAnswered {
 		attempt.body.AwaitEOF()
@@ -241,7 +265,7 @@
 // response.
 func (fwd *forwarder) recordFailure(call *call, srv *site.Server, err error) outcome {
 	code := core.CodeOf(err)
-	if code != core.CodeCallerGone && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+	if code != core.CodeCallerGone && !call.abortedForPart() && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
 		fwd.loads.withLock(func(balancer *share.Balancer) { balancer.RecordFailure(srv.ID, time.Now()) })
 	}
 	if code == core.CodeDialFailed {
--- a/entry/call.go
+++ b/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core"
+	"kumquathinge/core/crash"
 	"kumquathinge/core/site"
 	"kumquathinge/platform"
 )
@@ -36,11 +37,11 @@
 	triedServers []string
 	// promptTokens and maxOutputTokens are the token counts of the request.
 	promptTokens, maxOutputTokens int
-	// promptParts are the parts of the prompt that other requests may share.
-	promptParts []core.PromptPart
-	// attemptEvents is the number of events that the server of the current
-	// attempt has sent.
-	attemptEvents int
+	// subject is what the request may have in common with others.
+	subject crash.Subject
+	// proved is set once a server has answered beyond the point at which servers
+	// crash.
+	proved bool
 	// manyNodes is set if many nodes send requests to the same servers.
 	manyNodes bool
 	// firstEventDelay is the time from startedAt to the first event,
@@ -56,6 +57,13 @@
 	server        atomic.Pointer[site.Server]
 	lastProgress  atomic.Int64
 	cancelAttempt atomic.Pointer[context.CancelCauseFunc]
+	// attemptEvents is the number of events that the server of the current
+	// attempt has sent. abortedBy is why this node aborted the attempt, nil if it
+	// did not.
+	attemptEvents atomic.Int32
+	abortedBy     atomic.Pointer[error]
+	// onTrial is set while the call is the trial of a suspected part.
+	onTrial atomic.Bool
 }
 
 // recordProgress records that the server sent data.
@@ -86,10 +94,18 @@
 // abortAttempt cancels the current attempt, if any, with the cause.
 func (call *call) abortAttempt(cause error) {
 	if cancel := call.cancelAttempt.Load(); cancel != nil {
+		call.abortedBy.Store(&cause)
 		(*cancel)(cause)
 	}
 }
 
+// abortedForPart reports whether this node aborted the attempt because of a part
+// of the prompt, and not because of the server.
+func (call *call) abortedForPart() bool {
+	cause := call.abortedBy.Load()
+	return cause != nil && (*cause == errPartSuspected || *cause == errPartQuarantined)
+}
+
 // timeLeft returns the time until the deadline, negative after it.
 func (call *call) timeLeft(now time.Time) time.Duration { return call.deadline.Sub(now) }
 
@@ -133,6 +149,8 @@
 	errServerSilent    = core.Errorf(core.CodeSilent, "the server sent no data for too long")
 	errZoneUnreachable = core.Errorf(core.CodeSilent, "the availability zone of the server can't be reached")
 	errDeadlinePassed  = core.Errorf(core.CodeDeadline, "the deadline passed")
+	errPartSuspected   = core.Errorf(core.CodeUnknownOutcome, "another server ended under a part of the prompt")
+	errPartQuarantined = core.Errorf(core.CodeUnknownOutcome, "several servers ended under a part of the prompt")
 	errGroupChanged    = core.Errorf(core.CodeMemberMissing, "the group of the server was formed anew")
 )
 
--- a/entry/callmonitor.go
+++ b/entry/callmonitor.go
@@ -103,6 +103,33 @@
 	call.abortAttempt(cause)
 }
 
+// runPartChecks checks the open calls whenever the suspicion of a part of
+// prompts changes, until ctx ends.
+func (monitor *callMonitor) runPartChecks(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-monitor.forwarder.guard.partsChanged:
+		}
+		now := time.Now()
+		for _, call := range monitor.calls() {
+			monitor.checkParts(call, now)
+		}
+	}
+}
+
+// checkParts aborts an attempt without an event whose prompt has a part under
+// which other servers ended.
+func (monitor *callMonitor) checkParts(call *call, now time.Time) {
+	if call.attemptEvents.Load() > 0 || call.onTrial.Load() || call.service.Engine == nil {
+		return
+	}
+	if cause := monitor.forwarder.guard.abortCause(call, now); cause != nil {
+		call.abortAttempt(cause)
+	}
+}
+
 // abortCause returns why the attempt of a call should be aborted, or nil.
 func (monitor *callMonitor) abortCause(call *call, srv *site.Server, view *site.View, now time.Time) error {
 	silent := call.sinceProgress(now)
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -161,12 +161,13 @@
 	}
 	call.model = string(hdr.Peek(platform.HeaderModel))
 	call.promptTokens, call.maxOutputTokens = parseTokenCounts(string(hdr.Peek(platform.HeaderTokenCounts)))
-	call.promptParts = platform.DecodePromptParts(string(hdr.Peek(platform.HeaderPromptParts)))
+	parts := platform.DecodePromptParts(string(hdr.Peek(platform.HeaderPromptParts)))
 	call.lastEventID = string(hdr.Peek(platform.HeaderLastEventID))
 	call.deadline = now.Add(requestTimeout(call.route, hdr.Peek(platform.HeaderDeadline)))
 	ctx, cancel := context.WithDeadlineCause(context.Background(), call.deadline, errDeadlinePassed)
 	call.ctx, call.cancel = withCancelCause(ctx, cancel)
 	call.request = newUpstreamRequest(&reqCtx.Request, call.org)
+	call.subject = newSubject(call, parts)
 	front.forwarder.loads.countRequest(call.service.Name, now)
 	return call, nil
 }
@@ -252,12 +253,14 @@
 			front.copyHeader(reqCtx, attempt)
 			reqCtx.SetBody(resp.Body())
 			front.forwarder.recordProgress(call, attempt.server)
+			attempt.recordProof()
 			attempt.close()
 			front.finish(call, resp.Status(), nil, 0)
 			return
 		}
 		attempt.close()
 		if call.ctx.Err() == nil {
+			front.forwarder.guard.interrupted(call, attempt.server, err, true)
 			front.forwarder.recordFailure(call, attempt.server, err)
 		}
 		if !call.route.Retryable() {
@@ -333,7 +336,10 @@
 	case errors.As(err, &notRun):
 		status = fasthttp.StatusServiceUnavailable
 		after := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
-		if notRun.overShare {
+		switch {
+		case notRun.retryAfter > 0:
+			after = notRun.retryAfter
+		case notRun.overShare:
 			after = minShareRetryAfter + rand.N(maxShareRetryAfter-minShareRetryAfter)
 		}
 		reqCtx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
@@ -396,7 +402,7 @@
 	logEntry := front.log.WithFields(logrus.Fields{
 		"event": "request", "request": call.id, "route": call.route.Name, "kind": call.route.Kind, "service": call.service.Name, "model": call.model,
 		"organisation": call.org, "status": status, "code": core.CodeOf(err), "took": took, "sent": call.possibleRuns.Load(), "tried": len(call.triedServers),
-		"first": call.firstEventDelay, "gap": call.maxEventGap, "events": events, "last_event": call.lastEventID, "parts": call.promptParts, "version": front.configVersion(),
+		"first": call.firstEventDelay, "gap": call.maxEventGap, "events": events, "last_event": call.lastEventID, "parts": call.subject.Shared, "version": front.configVersion(),
 	})
 	if err != nil {
 		logEntry = logEntry.WithField("error", err)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquathinge/core"
+	"kumquathinge/core/crash"
 	"kumquathinge/core/share"
 	"kumquathinge/io/mirror"
 )
@@ -50,6 +51,9 @@
 	// Demands is the demand of the node's callers by model and organisation, in
 	// groups.
 	Demands map[string]map[core.OrgName]float64 `cbor:"17,keyasint,omitempty"`
+	// Crashes are the ends of servers that the node saw, and the parts of prompts
+	// in quarantine.
+	Crashes *crash.PartsReport `cbor:"18,keyasint,omitempty"`
 	// Stopping is set while the node stops. Such a node does not become the
 	// orderer.
 	Stopping bool `cbor:"7,keyasint"`
@@ -87,12 +91,41 @@
 		peers.trackStoreContact(now)
 		peers.sendHeartbeats(now)
 		peers.loads.rebalance(peers.state.table.Load(), peers.state.view.Load(), now)
-		peers.loads.setLiveNodes(peers.checkLiveness(timedOut, now) + 1)
+		live := peers.checkLiveness(timedOut, now) + 1
+		peers.loads.setLiveNodes(live)
+		peers.guard.step(live, now)
 		sleep(ctx, heartbeatInterval)
 	}
 	return nil
 }
 
+const (
+	// urgentGatherTime is how long news is gathered before an urgent heartbeat:
+	// the requests of one server end within it. urgentInterval is the minimum time
+	// between two.
+	urgentGatherTime = 5 * time.Millisecond
+	urgentInterval   = 50 * time.Millisecond
+)
+
+// runUrgentHeartbeats sends a heartbeat to all peers when this node saw a server
+// end under a request, until ctx is done.
+func (peers *peers) runUrgentHeartbeats(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-peers.guard.reportDue:
+		}
+		sleep(ctx, urgentGatherTime)
+		now := time.Now()
+		addrs := peers.peerAddrs(now)
+		hb := peers.newHeartbeat(now)
+		hb.Interval = time.Duration(share.BatchCount(len(addrs), crossZoneFanout)) * heartbeatInterval
+		peers.sendHeartbeatTo(hb, slices.Collect(maps.Keys(addrs)), addrs)
+		sleep(ctx, urgentInterval)
+	}
+}
+
 // checkLiveness logs the peers that have timed out since the last call, which
 // it records in timedOut, and returns the number of live peers. It deletes
 // peers after peerRetention.
@@ -169,6 +202,7 @@
 		hb.Suspects = append(balancer.StalledServers(streamSilenceTimeout, now), balancer.SlowServers()...)
 	})
 	hb.Demands = peers.loads.demands(now)
+	hb.Crashes = peers.guard.report(now)
 	for _, follower := range peers.followers {
 		hb.NextOffsets = append(hb.NextOffsets, follower.nextOffset.Load())
 	}
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -48,6 +48,16 @@
 	meter.set.GetOrCreateHistogram(fmt.Sprintf("kumquathinge_request_seconds{kind=%q}", kind)).Update(seconds)
 }
 
+// recordCrashChange counts a change of the suspicion of a part of prompts.
+func (meter *nodeMetrics) recordCrashChange(kind string) {
+	meter.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_prompt_parts_total{change=%q}", kind)).Inc()
+}
+
+// recordCrashRefusal counts a request that was refused because of a part.
+func (meter *nodeMetrics) recordCrashRefusal(reason string) {
+	meter.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_prompt_part_refusals_total{reason=%q}", reason)).Inc()
+}
+
 // Kinds of calls to the store. The store holds a storeFollow call until
 // something changes, so its duration does not measure the speed of the store.
 const (
--- a/entry/node.go
+++ b/entry/node.go
@@ -124,10 +124,10 @@
 	node.state = newSharedState()
 	node.pools = wire.NewPools(wire.Config{DialTimeout: dialTimeout, IdleTimeout: serverIdleTimeout, MaxIdle: maxIdleConns, AckTimeout: ackTimeout, MaxBody: maxResponseSize})
 	loads := newLoadTracker(settings.Zone, func() site.Settings { return *node.settings.Load() })
-	fwd := &forwarder{state: node.state, pools: node.pools, log: node.log, metrics: node.metrics, loads: loads}
+	fwd := &forwarder{state: node.state, pools: node.pools, log: node.log, metrics: node.metrics, loads: loads, guard: newCrashGuard(self, loads, node.log, node.metrics)}
 	node.monitor = newCallMonitor(fwd, node.log)
 	node.frontend = newFrontend(node.state, fwd, node.monitor, node.log, node.metrics)
-	node.peers = newPeers(node.state, loads, health, node.log, node.metrics, self, node.frontend.draining.Load)
+	node.peers = newPeers(node.state, loads, fwd.guard, health, node.log, node.metrics, self, node.frontend.draining.Load)
 	node.registry = newServerRegistry(node.state, health, node.log, node.metrics)
 	node.registrar = newNodeRegistrar(node.state, store, node.log, node.metrics, self)
 	node.orderer = &orderer{
@@ -179,6 +179,8 @@
 	}
 	add(node.registrar.run)
 	add(node.peers.runHeartbeats)
+	add(node.peers.runUrgentHeartbeats)
+	add(node.monitor.runPartChecks)
 	grp.Add(func() error { return node.peers.receive(ctx) }, func(error) { _ = node.peers.conn.Close() })
 	add(node.orderer.run)
 	add(node.monitor.run)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -56,6 +56,7 @@
 type peers struct {
 	state    *sharedState
 	loads    *loadTracker
+	guard    *crashGuard
 	health   *storeHealth
 	log      *logrus.Logger
 	metrics  *nodeMetrics
@@ -93,8 +94,8 @@
 	statuses map[string]peerStatus
 }
 
-func newPeers(state *sharedState, loads *loadTracker, health *storeHealth, log *logrus.Logger, meter *nodeMetrics, self nodeRecord, stopping func() bool) *peers {
-	return &peers{state: state, loads: loads, health: health, log: log, metrics: meter, self: self, stopping: stopping, statuses: map[string]peerStatus{}}
+func newPeers(state *sharedState, loads *loadTracker, guard *crashGuard, health *storeHealth, log *logrus.Logger, meter *nodeMetrics, self nodeRecord, stopping func() bool) *peers {
+	return &peers{state: state, loads: loads, guard: guard, health: health, log: log, metrics: meter, self: self, stopping: stopping, statuses: map[string]peerStatus{}}
 }
 
 // listen binds the node's UDP address.
@@ -188,6 +189,7 @@
 			peers.followers[idx].notePeerOffset(hb.Addr, end, hb.Zone == peers.self.Zone, now)
 		}
 	}
+	peers.guard.updatePeer(witnessName(hb.Node, hb.Incarnation), hb.Crashes, now)
 	peers.loads.updateDemands(hb.Node, hb.Demands, now.Add(max(peerTimeout, demandTimeoutIntervals*hb.Interval)))
 	peers.loads.withLock(func(balancer *share.Balancer) {
 		balancer.UpdatePeer(hb.Node, hb.RequestCounts, hb.Interval, now)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -126,6 +126,9 @@
 	case errors.Is(err, io.EOF):
 		relay.eof = true
 		relay.completeLen = len(relay.buffer)
+		if relay.call.attemptEvents.Load() > 0 {
+			relay.attempt.recordProof()
+		}
 		relay.attempt.close()
 		return nil
 	}
@@ -140,12 +143,16 @@
 	if pos < 0 {
 		return
 	}
-	relay.attempt.recordEvent(relay.call.recordEvent(time.Now()))
+	now := time.Now()
+	relay.attempt.recordEvent(relay.call.recordEvent(now))
+	if now.Sub(relay.attempt.answeredAt) >= provedTime {
+		relay.attempt.recordProof()
+	}
 	start := relay.completeLen
 	relay.completeLen = from + pos + len(eventEnd)
 	num = bytes.Count(relay.buffer[start:relay.completeLen], eventEnd)
 	relay.eventCount += num
-	relay.call.attemptEvents += num
+	relay.call.attemptEvents.Add(int32(num))
 	if relay.skipUntilID != "" {
 		relay.dropDelivered(start)
 	}
@@ -213,6 +220,7 @@
 	srv := relay.attempt.server
 	relay.attempt.close()
 	if call.ctx.Err() == nil {
+		relay.forwarder.guard.interrupted(call, srv, cause, true)
 		relay.forwarder.recordFailure(call, srv, cause)
 	}
 	if !call.route.Retryable() {
