--- a/core/crash/exchange.go
+++ b/core/crash/exchange.go
@@ -12,7 +12,7 @@
 // PartsReport is what a node tells its peers of crashes. Times are ages, since
 // the clocks of nodes differ.
 type PartsReport struct {
-	Crashes     []EndReport                     `cbor:"1,keyasint,omitempty"`
+	Crashes     []EndReport                       `cbor:"1,keyasint,omitempty"`
 	Proved      map[core.PromptPart]time.Duration `cbor:"2,keyasint,omitempty"`
 	Quarantines []QuarantineReport                `cbor:"3,keyasint,omitempty"`
 	// Trial are the parts that the node tries.
