Keep the suspicion of a part when several servers end at one moment

A request that this node took back within the second before its server ended is evidence now. Ends of one moment no longer lift a suspicion: for a part without an earlier success, servers of one domain that end together count once; the condition on most of the servers holds for parts with one.

--- a/core/crash/evaluate.go
+++ b/core/crash/evaluate.go
@@ -41,17 +41,22 @@
 	return kind(crs.waiting)
 }
 
-// counts reports whether the crash counts for a part: it was present on more
-// than half of the servers that ended at the same moment.
-func (crs *crash) counts(part core.PromptPart, kind kindOf) bool {
+// counts reports whether the crash counts for a part that is a candidate. One
+// with an alibi must have been present on more than half of the servers that
+// ended at the same moment. For others, servers of one domain that end at the
+// same moment count once.
+func (crs *crash) counts(part core.PromptPart, kind kindOf, alibi bool) bool {
 	num := 0
 	for _, other := range crs.companions {
-		if _, ok := other.candidates(kind)[part]; ok {
-			num++
+		if _, ok := other.candidates(kind)[part]; !ok {
+			continue
+		}
+		num++
+		if !alibi && other.run.Domain != "" && other.run.Domain == crs.run.Domain {
+			return other == crs
 		}
 	}
-	_, own := crs.candidates(kind)[part]
-	return own && 2*num > len(crs.companions)
+	return !alibi || 2*num > len(crs.companions)
 }
 
 // contains reports whether a request with the part was at the server.
@@ -114,8 +119,10 @@
 	if !tr.stale && since < evaluationInterval && (!tr.reported || since < reportInterval) {
 		return
 	}
-	tr.stale, tr.reported, tr.evaluatedAt = false, false, now
+	tr.reported, tr.evaluatedAt = false, now
 	tr.expireCrashes(now)
+	tr.addWithdrawn(now)
+	tr.stale = false
 	tr.endQuarantines(now)
 	crashes := tr.allCrashes()
 	tr.mentioned = map[core.PromptPart]struct{}{}
@@ -176,11 +183,12 @@
 	for _, crs := range crashes {
 		for part := range crs.candidates(kind) {
 			last := tr.lastProved(part)
-			if last.After(crs.at) || !crs.counts(part, kind) {
+			alibi := !last.IsZero() && crs.at.Sub(last) < tr.cfg.AlibiTime
+			if last.After(crs.at) || !crs.counts(part, kind, alibi) {
 				continue
 			}
 			if out[part] == nil {
-				out[part] = &tally{alibi: !last.IsZero() && crs.at.Sub(last) < tr.cfg.AlibiTime}
+				out[part] = &tally{alibi: alibi}
 			}
 			out[part].crashes = append(out[part].crashes, crs)
 		}
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -24,6 +24,8 @@
 type ServerRun struct {
 	ID          string `cbor:"1,keyasint"`
 	StartMillis int64  `cbor:"2,keyasint"`
+	// Domain is the server's fabric domain.
+	Domain string `cbor:"3,keyasint,omitempty"`
 }
 
 // PartsConfig holds the limits of a PartTracker. Zero fields select defaults.
@@ -55,6 +57,11 @@
 	defaultMaxQuarantined        = 64
 	defaultMaxProved             = 4096
 
+	// withdrawnTime is the time after which a server no longer ends because of a
+	// request that this node has taken back.
+	withdrawnTime = time.Second
+	// maxWithdrawn is the number of such requests that are kept.
+	maxWithdrawn = 64
 	// commonCauseWindow is the time within which the ends of several servers may
 	// have one cause, such as the loss of their fabric domain.
 	commonCauseWindow = 100 * time.Millisecond
@@ -95,6 +102,15 @@
 	begun, waiting subjects
 }
 
+// withdrawal is a request that this node took back from a server before the
+// first event of its answer.
+type withdrawal struct {
+	run   ServerRun
+	req   Subject
+	begun bool
+	at    time.Time
+}
+
 // subjects is a set of shared parts and one of whole requests.
 type subjects struct {
 	shared, own map[core.PromptPart]struct{}
@@ -137,6 +153,8 @@
 	// crashes are the ends of servers that this node observed.
 	crashes map[ServerRun]*evidence
 	peers   map[string]peerParts
+	// withdrawn are the requests taken back within withdrawnTime.
+	withdrawn []withdrawal
 	// proved are the successes at this node, peerProved those that peers reported.
 	// They are separate so that reports are not passed on, which would make them
 	// appear later with each hop.
@@ -200,6 +218,39 @@
 	tr.stale = true
 }
 
+// Withdrawn records that this node took a request back from a server before the
+// first event of its answer. If the server ends soon, the request may be the
+// cause.
+func (tr *PartTracker) Withdrawn(run ServerRun, req Subject, begun bool, now time.Time) {
+	if len(tr.withdrawn) < maxWithdrawn {
+		tr.withdrawn = append(tr.withdrawn, withdrawal{run: run, req: req, begun: begun, at: now})
+		tr.stale = true
+	}
+}
+
+// addWithdrawn adds the requests to the evidence that were taken back from
+// servers that ended since.
+func (tr *PartTracker) addWithdrawn(now time.Time) {
+	if len(tr.withdrawn) == 0 {
+		return
+	}
+	ended := map[ServerRun]bool{}
+	for run := range tr.crashes {
+		ended[run] = true
+	}
+	for _, peer := range tr.peers {
+		for run := range peer.crashes {
+			ended[run] = true
+		}
+	}
+	tr.withdrawn = slices.DeleteFunc(tr.withdrawn, func(wdr withdrawal) bool {
+		if ended[wdr.run] {
+			tr.Interrupted(wdr.run, wdr.req, wdr.begun, now)
+		}
+		return ended[wdr.run] || now.Sub(wdr.at) >= withdrawnTime
+	})
+}
+
 // TakeUrgent reports whether evidence or a quarantine has been added since the
 // last call that peers should get at once.
 func (tr *PartTracker) TakeUrgent() bool {
@@ -361,7 +412,9 @@
 	expired := func(_ ServerRun, ev *evidence) bool { return now.Sub(ev.at) >= tr.cfg.SuspicionTime }
 	maps.DeleteFunc(tr.crashes, expired)
 	for name, peer := range tr.peers {
-		maps.DeleteFunc(peer.crashes, expired)
+		if len(peer.crashes) > 0 {
+			maps.DeleteFunc(peer.crashes, expired)
+		}
 		if len(peer.crashes) == 0 && !now.Before(peer.expiresAt) {
 			delete(tr.peers, name)
 		}
--- a/entry/crashguard.go
+++ b/entry/crashguard.go
@@ -73,16 +73,34 @@
 // the first event, if the error shows that.
 func (guard *crashGuard) interrupted(call *call, srv *site.Server, err error, begun bool) {
 	code := core.CodeOf(err)
+	if call.abortedForPart() {
+		guard.withdrawn(call, srv, begun)
+		return
+	}
 	if call.ctx.Err() != nil || call.abortedBy.Load() != nil || call.attemptEvents.Load() > 0 || code != core.CodeCutAnswer && code != core.CodeUnknownOutcome {
 		return
 	}
 	now := time.Now()
 	guard.mtx.Lock()
 	defer guard.mtx.Unlock()
-	guard.tracker.Interrupted(crash.ServerRun{ID: srv.ID, StartMillis: srv.StartMillis}, call.subject, begun, now)
+	guard.tracker.Interrupted(serverRun(srv), call.subject, begun, now)
+	guard.publishChanges(now)
+}
+
+// withdrawn records that this node took a call back from a server because of a
+// part of its prompt.
+func (guard *crashGuard) withdrawn(call *call, srv *site.Server, begun bool) {
+	now := time.Now()
+	guard.mtx.Lock()
+	defer guard.mtx.Unlock()
+	guard.tracker.Withdrawn(serverRun(srv), call.subject, begun, now)
 	guard.publishChanges(now)
 }
 
+func serverRun(srv *site.Server) crash.ServerRun {
+	return crash.ServerRun{ID: srv.ID, StartMillis: srv.StartMillis, Domain: srv.Domain}
+}
+
 // proved records that a server answers a call beyond the point at which servers
 // crash.
 func (guard *crashGuard) proved(call *call) {
