Treat a stream that ends inside an event as broken off

A stream with neither a length nor chunks that ended with its connection inside an event, or before the first one, was passed on to the caller as whole, with the torn event. Servers that crash end answers that way.

The relay resumes such a stream on another server, or breaks it off. The whole one goes through as before. The decoder of the other data path wants an end chunk and is not affected (TestHoldsWholeAnswer).

TestStreamWithoutFraming failed before in three of four cases.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -123,6 +123,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, io.EOF) && relay.brokenOff():
+		return relay.resume(core.Errorf(core.CodeCutAnswer, "stream from %s ended inside an event", relay.attempt.server.ID))
 	case errors.Is(err, io.EOF):
 		relay.eof = true
 		relay.completeLen = len(relay.buffer)
@@ -135,6 +137,16 @@
 	return relay.resume(err)
 }
 
+// brokenOff reports whether the stream, which has ended, is incomplete: it ended
+// inside an event, or, where only the connection shows the end, before the first
+// event.
+func (relay *streamRelay) brokenOff() bool {
+	if len(bytes.TrimSpace(relay.buffer[relay.completeLen:])) > 0 {
+		return true
+	}
+	return relay.call.attemptEvents.Load() == 0 && !relay.attempt.body.Framed()
+}
+
 // appendRead adds num new bytes to the buffer and looks for the ends of events.
 func (relay *streamRelay) appendRead(num int) {
 	from := max(relay.completeLen, len(relay.buffer)-1)
