Don't report servers as active because requests are sent to them

RequestSent sets the time of the last progress for the first request at a server, and a server that had failed kept the mark that it had sent data; each refused dial made it active again.

The mark is cleared with the time. TestRefusedDialIsNoData failed before. An attempt whose header came in part counts as begun, too.

--- a/core/share/balancer.go
+++ b/core/share/balancer.go
@@ -108,7 +108,7 @@
 func (bal *Balancer) RequestSent(id string, prompt int, now time.Time) {
 	stats := bal.statsOf(id)
 	if stats.running == 0 {
-		stats.lastProgressAt = now
+		stats.lastProgressAt, stats.progressed = now, false
 	}
 	stats.running++
 	stats.waitingTokens += prompt
--- a/core/share/load_test.go
+++ b/core/share/load_test.go
@@ -170,3 +170,19 @@
 	assert.DeepEqual(t, bal.ActiveServers(start.Add(time.Second)), []string{"s1"})
 	assert.Equal(t, len(bal.ActiveServers(start.Add(2*time.Second))), 0)
 }
+
+// TestRefusedDialIsNoData sends a request to a server that failed. It guards
+// against a server that ended being reported as active because requests are still
+// sent to it.
+func TestRefusedDialIsNoData(t *testing.T) {
+	bal := share.NewBalancer("z1")
+	bal.RequestSent("s0", 0, start)
+	bal.RecordProgress("s0", start)
+	bal.RecordFailure("s0", start.Add(time.Second))
+	bal.RequestEnded("s0", 0)
+	bal.RequestSent("s0", 0, start.Add(2*time.Second))
+	assert.Equal(t, len(bal.ActiveServers(start.Add(time.Second))), 0)
+	assert.Assert(t, bal.LastActive("s0").IsZero())
+	bal.RecordProgress("s0", start.Add(3*time.Second))
+	assert.Equal(t, bal.LastActive("s0"), start.Add(3*time.Second))
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -244,7 +244,7 @@
 		cancel(nil)
 		call.cancelAttempt.Store(nil)
 		fwd.endRequest(srv.ID, call.promptTokens)
-		fwd.guard.interrupted(call, srv, err, false)
+		fwd.guard.interrupted(call, srv, err, core.CodeOf(err) == core.CodeCutAnswer)
 		return fwd.recordFailure(call, srv, err), nil, err
 	}
 	attempt := &attempt{server: srv, body: body, cancel: cancel, forwarder: fwd, call: call, answeredAt: time.Now()}
