--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -279,6 +279,9 @@
 func (fwd *forwarder) classifyResponse(call *call, attempt *attempt) (outcome, error) {
 	body := attempt.body
 	status := body.Status()
+	if limit, ok := platform.DecodeServerLimit(string(body.Header(platform.HeaderServerLimit))); ok {
+		fwd.log.WithFields(logrus.Fields{"event": "server_limit", "request": call.id, "server": attempt.server.ID, "limit": limit, "status": status}).Info("server named a limit of requests a second")
+	}
 	if len(body.Header(platform.HeaderNotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest {
 		fwd.recordRefusal(attempt)
 		return outcomeNotRun, core.Errorf(core.CodeRefused, "status %d from %s", status, attempt.server.ID)
