--- a/core/crash/example_test.go
+++ b/core/crash/example_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"kumquathinge/core"
 	"kumquathinge/core/crash"
 )
 
@@ -27,3 +28,22 @@
 	// true true
 	// true true
 }
+
+// Two servers end while they begin to answer requests that share a part. The
+// requests that share only the other part are not affected.
+func ExamplePartTracker() {
+	tr := crash.NewPartTracker("entry-1", crash.PartsConfig{})
+	now := time.Now()
+	tr.Proved(crash.Subject{Shared: []core.PromptPart{"system"}}, now)
+	bad := crash.Subject{Shared: []core.PromptPart{"system", "template"}}
+	for _, id := range []string{"s1", "s2"} {
+		now = now.Add(time.Second)
+		tr.Interrupted(crash.ServerRun{ID: id}, bad, true, now)
+	}
+	decision := tr.Decide(bad, now)
+	fmt.Println(decision.Disposition == crash.Quarantined, decision.Part, decision.Servers)
+	fmt.Println(tr.Decide(crash.Subject{Shared: []core.PromptPart{"system", "other"}}, now).Disposition == crash.Allowed)
+	// Output:
+	// true template [s1 s2]
+	// true
+}
--- a/io/oper/opcli/codes.go
+++ b/io/oper/opcli/codes.go
@@ -25,7 +25,7 @@
 	{core.CodeQueueFull, "QueueFull", "The queue is full; the request did not run.", "Try again after the time that the answer states."},
 	{core.CodeDeadline, "Deadline", "The request can't be done by its deadline; it did not run.", "Try again after the time that the answer states, or with a later deadline."},
 	{core.CodeOrgLimit, "OrgLimit", "The organisation's limit is reached; the request did not run.", "Try again after the time that the answer states; operators may raise org.* limits."},
-	{core.CodeQuarantined, "Quarantined", "The request crashed backend servers before and is refused for a time; it did not run.", "Do not send it again unchanged; operators see kumctl status."},
+	{core.CodeQuarantined, "Quarantined", "The request, or a part of its prompt, crashed backend servers before and is refused for a time; it did not run.", "Do not send it again unchanged; operators see kumctl status."},
 	{core.CodeDraining, "Draining", "The group, VM or entry VM takes no new work; the request did not run.", "Try again; another one takes it."},
 	{core.CodeKeyExpired, "KeyExpired", "The request was issued before the window for idempotency keys; it did not run.", "Find out by other means whether it ran before; issue it anew with a new key."},
 	{core.CodeClaimNoLog, "ClaimNoLog", "A request that must not be repeated needs the log, which can't be reached; it did not run.", "Send it again with the same key later."},
