End a stopping node only when its responses are written

A planned stop waited until no call was open. A call ends before its response is written to the caller, and begins after its request has been read, so a node could end with a response half written, or with a request just accepted.

The stop waits for the connections that are active, from the first byte of a request to the last byte of its response, within the grace period as before.

--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -43,6 +43,7 @@
 	log       *logrus.Logger
 	metrics   *nodeMetrics
 	server    *fasthttp.Server
+	active    *activeConns
 	// draining makes the node not ready and closes each connection after its
 	// response. rejecting makes it reject new requests.
 	draining  atomic.Bool
@@ -52,7 +53,7 @@
 }
 
 func newFrontend(state *sharedState, fwd *forwarder, monitor *callMonitor, log *logrus.Logger, meter *nodeMetrics) *frontend {
-	front := &frontend{state: state, forwarder: fwd, monitor: monitor, log: log, metrics: meter}
+	front := &frontend{state: state, forwarder: fwd, monitor: monitor, log: log, metrics: meter, active: newActiveConns()}
 	front.server = &fasthttp.Server{
 		Handler:                      front.handle,
 		ReadBufferSize:               maxHeaderSize,
@@ -64,6 +65,7 @@
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
 		Logger:                       log,
+		ConnState:                    front.active.setState,
 	}
 	return front
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -246,7 +246,8 @@
 }
 
 // awaitStop waits for ctx or a stop signal, makes the node not ready, and
-// returns when no request is in flight or the grace period is over.
+// returns when no request is read or answered any more, or the grace period is
+// over. A request that has ended may still have a response to be written.
 func (node *Node) awaitStop(ctx context.Context) error {
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
@@ -262,7 +263,7 @@
 	for now := begin; now.Before(end); now = time.Now() {
 		if now.Sub(begin) > node.options.DrainDelay {
 			node.frontend.rejecting.Store(true)
-			if node.monitor.count() == 0 {
+			if node.frontend.active.count() == 0 {
 				break
 			}
 		}
