--- a/core/crash/exchange.go
+++ b/core/crash/exchange.go
@@ -108,6 +108,9 @@
 	return out[:min(len(out), maxReportedParts)]
 }
 
+// HasPeers reports whether a peer has reported something that still counts.
+func (tr *PartTracker) HasPeers() bool { return len(tr.peers) > 0 }
+
 // UpdatePeer replaces the report of a peer, nil if it has nothing to report.
 // Its quarantines are taken over. An impossible value is limited or ignored.
 func (tr *PartTracker) UpdatePeer(from string, report *PartsReport, now time.Time) {
--- a/entry/crashguard.go
+++ b/entry/crashguard.go
@@ -203,10 +203,13 @@
 }
 
 // updatePeer replaces the report of a peer.
-func (guard *crashGuard) updatePeer(witness string, report *crash.PartsReport, now time.Time) {
+func (guard *crashGuard) updatePeer(node string, incarnation int64, report *crash.PartsReport, now time.Time) {
 	guard.mtx.Lock()
 	defer guard.mtx.Unlock()
-	guard.tracker.UpdatePeer(witness, report, now)
+	if report == nil && !guard.tracker.HasPeers() {
+		return
+	}
+	guard.tracker.UpdatePeer(witnessName(node, incarnation), report, now)
 	guard.publishChanges(now)
 }
 
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -82,7 +82,7 @@
 
 // storeReachable reports whether the node reads the store and the store
 // responds. It is false for a stopping node.
-func (hb heartbeat) storeReachable() bool {
+func (hb *heartbeat) storeReachable() bool {
 	return hb.ReadsStore && hb.StoreOutage == 0 && !hb.Stopping
 }
 
@@ -136,7 +136,7 @@
 func (peers *peers) shareLimits(now time.Time) {
 	peers.arrivals.sample(now)
 	nodes := []share.NodeDemand{{Node: peers.self.Node, PerSecond: peers.arrivals.perSecond()}}
-	peers.eachLive(now, func(hb heartbeat) {
+	peers.eachLive(now, func(hb *heartbeat) {
 		if !hb.Stopping {
 			nodes = append(nodes, share.NodeDemand{Node: hb.Node, PerSecond: max(0, hb.Arrivals)})
 		}
@@ -233,7 +233,7 @@
 // a record in the store, by node.
 func (peers *peers) peerAddrs(now time.Time) map[string]string {
 	out := map[string]string{}
-	peers.eachLive(now, func(hb heartbeat) { out[hb.Node] = hb.Addr })
+	peers.eachLive(now, func(hb *heartbeat) { out[hb.Node] = hb.Addr })
 	for name, rec := range peers.state.cluster.Load().nodes {
 		if name != peers.self.Node {
 			out[name] = rec.Addr
@@ -245,7 +245,7 @@
 // storeReaders returns the live peers that read the store.
 func (peers *peers) storeReaders(now time.Time) map[string]bool {
 	out := map[string]bool{}
-	peers.eachLive(now, func(hb heartbeat) {
+	peers.eachLive(now, func(hb *heartbeat) {
 		if hb.ReadsStore {
 			out[hb.Node] = true
 		}
@@ -310,7 +310,7 @@
 // zone. Nodes that are not live come last, because they may not forward updates.
 func (peers *peers) updateTargets() map[string][]string {
 	live := map[string]bool{}
-	peers.eachLive(time.Now(), func(hb heartbeat) { live[hb.Node] = true })
+	peers.eachLive(time.Now(), func(hb *heartbeat) { live[hb.Node] = true })
 	cluster := peers.state.cluster.Load()
 	shared := cluster.orderer == peers.self && len(cluster.nodes) >= sharedReaderMinNodes
 	out, notLive := map[string][]string{}, map[string][]string{}
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -268,7 +268,7 @@
 // reach the store.
 func (ord *orderer) claimRank(cluster *clusterState, now time.Time) int {
 	num := 0
-	ord.peers.eachLive(now, func(hb heartbeat) {
+	ord.peers.eachLive(now, func(hb *heartbeat) {
 		if _, known := cluster.nodes[hb.Node]; known && hb.Node < ord.self.Node && hb.storeReachable() {
 			num++
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,7 @@
 
 // live reports whether the last heartbeat is recent, measured by the interval
 // that the peer announced.
-func (peer peerStatus) live(now time.Time) bool {
+func (peer *peerStatus) live(now time.Time) bool {
 	return now.Sub(peer.receivedAt) < max(peerTimeout, peerTimeoutIntervals*peer.heartbeat.Interval)
 }
 
@@ -92,11 +93,11 @@
 	rotation share.RoundRobin
 
 	mtx      sync.Mutex
-	statuses map[string]peerStatus
+	statuses map[string]*peerStatus
 }
 
 func newPeers(state *sharedState, loads *loadTracker, guard *crashGuard, health *storeHealth, log *logrus.Logger, meter *nodeMetrics, self nodeRecord, stopping func() bool) *peers {
-	return &peers{state: state, loads: loads, guard: guard, health: health, log: log, metrics: meter, self: self, stopping: stopping, statuses: map[string]peerStatus{}}
+	return &peers{state: state, loads: loads, guard: guard, health: health, log: log, metrics: meter, self: self, stopping: stopping, statuses: map[string]*peerStatus{}}
 }
 
 // listen binds the node's UDP address.
@@ -115,17 +116,20 @@
 	peers.mtx.Lock()
 	defer peers.mtx.Unlock()
 	peer, ok := peers.statuses[name]
-	return peer.heartbeat, ok && peer.live(now)
+	if !ok {
+		return heartbeat{}, false
+	}
+	return peer.heartbeat, peer.live(now)
 }
 
 // eachLive calls fn with the last heartbeat of each live peer, while holding
-// the mutex. fn must not call methods of peers that lock it.
-func (peers *peers) eachLive(now time.Time, fn func(hb heartbeat)) {
+// the mutex. fn must not keep or change the heartbeat. fn must not call methods of peers that lock it.
+func (peers *peers) eachLive(now time.Time, fn func(hb *heartbeat)) {
 	peers.mtx.Lock()
 	defer peers.mtx.Unlock()
 	for _, peer := range peers.statuses {
 		if peer.live(now) {
-			fn(peer.heartbeat)
+			fn(&peer.heartbeat)
 		}
 	}
 }
@@ -134,7 +138,7 @@
 func (peers *peers) receive(ctx context.Context) error {
 	buf := make([]byte, maxDatagramSize)
 	for ctx.Err() == nil {
-		num, _, err := peers.conn.ReadFromUDP(buf)
+		num, _, err := peers.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -173,7 +177,7 @@
 	// back may be lower than a former one that sends nothing any more.
 	stale := known && hb.Incarnation < old.heartbeat.Incarnation && old.live(now)
 	if !stale {
-		peers.statuses[hb.Node] = peerStatus{heartbeat: hb, receivedAt: now}
+		peers.statuses[hb.Node] = &peerStatus{heartbeat: hb, receivedAt: now}
 	}
 	peers.mtx.Unlock()
 	if stale {
@@ -190,7 +194,7 @@
 			peers.followers[idx].notePeerOffset(hb.Addr, end, hb.Zone == peers.self.Zone, now)
 		}
 	}
-	peers.guard.updatePeer(witnessName(hb.Node, hb.Incarnation), hb.Crashes, now)
+	peers.guard.updatePeer(hb.Node, hb.Incarnation, hb.Crashes, now)
 	peers.loads.updateDemands(hb.Node, hb.Demands, now.Add(max(peerTimeout, demandTimeoutIntervals*hb.Interval)))
 	peers.loads.withLock(func(balancer *share.Balancer) {
 		balancer.UpdatePeer(hb.Node, hb.RequestCounts, hb.Interval, now)
@@ -206,7 +210,7 @@
 // trackStoreContact records whether any node reaches the store.
 func (peers *peers) trackStoreContact(now time.Time) {
 	reached := peers.readsStore(now) && peers.health.unavailableFor(now) == 0
-	peers.eachLive(now, func(hb heartbeat) { reached = reached || hb.storeReachable() })
+	peers.eachLive(now, func(hb *heartbeat) { reached = reached || hb.storeReachable() })
 	if !reached {
 		return
 	}
@@ -231,9 +235,9 @@
 
 // sendDatagram sends one datagram. Errors are only counted.
 func (peers *peers) sendDatagram(raw []byte, addr string) {
-	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	addrPort, err := netip.ParseAddrPort(addr)
 	if err == nil {
-		_, err = peers.conn.WriteToUDP(raw, udpAddr)
+		_, err = peers.conn.WriteToUDPAddrPort(raw, addrPort)
 	}
 	if err != nil {
 		peers.metrics.peerErrors.Inc()
@@ -278,7 +282,7 @@
 		return true
 	}
 	rank, anyReachable, earlierReader, sharedReader := 0, false, false, false
-	peers.eachLive(now, func(hb heartbeat) {
+	peers.eachLive(now, func(hb *heartbeat) {
 		anyReachable = anyReachable || hb.storeReachable()
 		if hb.Node == cluster.orderer.Node && hb.Incarnation == cluster.orderer.Incarnation && hb.IsOrderer {
 			sharedReader = hb.storeReachable()
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -98,7 +98,7 @@
 	ord.loads.withLock(func(balancer *share.Balancer) {
 		heads = append(balancer.StalledServers(streamSilenceTimeout, now), balancer.SlowServers()...)
 	})
-	ord.peers.eachLive(now, func(hb heartbeat) { heads = append(heads, hb.Suspects...) })
+	ord.peers.eachLive(now, func(hb *heartbeat) { heads = append(heads, hb.Suspects...) })
 	for _, grp := range view.Groups() {
 		head := grp.Head()
 		if head == nil || !slices.Contains(heads, head.ID) || head.Group.State != site.GroupOpen {
