--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -64,6 +64,6 @@
 // Each node exports the crashes that it observed itself and stores the exports
 // of its peers separately, one list per peer. Decisions use the sum, so one
 // crash at each of two nodes quarantines the request at both. A PartTracker also
-// exports the successes of suspected parts and all quarantines that it knows, so
+// exports the successes of suspected parts and all quarantines that it holds, so
 // that these outlive the node that saw the crashes.
 package crash
--- a/core/crash/exchange.go
+++ b/core/crash/exchange.go
@@ -9,7 +9,7 @@
 	"kumquathinge/core"
 )
 
-// PartsReport is what a node tells its peers of crashes. Times are ages, since
+// PartsReport is the state of crashes that a node sends to its peers. Times are ages, since
 // the clocks of nodes differ.
 type PartsReport struct {
 	Crashes     []EndReport                       `cbor:"1,keyasint,omitempty"`
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -95,7 +95,7 @@
 	return cfg
 }
 
-// evidence is what one node knows of the end of a server: the parts of its
+// evidence is one node's view of the end of a server: the parts of its
 // requests that had begun without an event, and of those that had not begun.
 type evidence struct {
 	at             time.Time
@@ -184,7 +184,7 @@
 	servers []string
 }
 
-// NewPartTracker returns a PartTracker of a node that knows of no crash.
+// NewPartTracker returns a PartTracker of a node without any evidence.
 func NewPartTracker(node string, cfg PartsConfig) *PartTracker {
 	cfg = cfg.withDefaults()
 	return &PartTracker{
--- a/core/crash/property_test.go
+++ b/core/crash/property_test.go
@@ -34,7 +34,7 @@
 		if len(crashes) < maxPartCrashes {
 			return
 		}
-		// A node that is cut off or has just started knows less than the others.
+		// A node that is cut off or has just started lacks evidence that others have.
 		known := crashes[maxPartCrashes-1].Add(knownAfter)
 		later := 0
 		for _, sent := range cl.deadlySent["deadly"] {
--- a/core/share/limits.go
+++ b/core/share/limits.go
@@ -30,7 +30,7 @@
 // NoLimit stands for a server that names no limit.
 const NoLimit = -1.0
 
-// LimitReport is what a node last heard from a server about its limit. PerSecond
+// LimitReport is the limit in the last response of a server to a node. PerSecond
 // is NoLimit if the response named none any more.
 type LimitReport struct {
 	StartMillis int64         `cbor:"1,keyasint"`
@@ -120,8 +120,8 @@
 	return changed
 }
 
-// update takes over the reports of a peer that are newer than what this node
-// knows.
+// update takes over the reports of a peer that are newer than those of this
+// node.
 func (lims *serverLimits) update(reports map[string]LimitReport, now time.Time) {
 	if len(reports) > maxReportedLimits {
 		return
@@ -137,8 +137,7 @@
 	}
 }
 
-// report returns the limits that this node heard from servers itself, the latest
-// ones if there are too many.
+// report returns the limits in responses of servers to this node, the latest ones if there are too many.
 func (lims *serverLimits) report(now time.Time) map[string]LimitReport {
 	var ids []string
 	for id, lim := range lims.byID {
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -105,7 +105,7 @@
 }
 
 const (
-	// urgentGatherTime is how long news is gathered before an urgent heartbeat:
+	// urgentGatherTime is how long evidence is gathered before an urgent heartbeat:
 	// the requests of one server end within it. urgentInterval is the minimum time
 	// between two.
 	urgentGatherTime = 5 * time.Millisecond
--- a/entry/lostanswer_test.go
+++ b/entry/lostanswer_test.go
@@ -19,7 +19,7 @@
 
 // TestLostAnswer loses the answer of a server after each of its bytes. It guards
 // against a request that ran and runs again although it must not, and against a
-// caller that is told that it did not run.
+// caller that gets "not run" for it.
 func TestLostAnswer(t *testing.T) {
 	rig := newTestCluster(t, 1, 2)
 	rig.resumable = false
