End the trial of a part with the node that runs it

The announced trial of a peer counted as long as the peer's evidence, up to 30 s, so a node that ended during a trial kept the others from trying the part. A call whose handling panics ends its trial, too.

--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -249,6 +249,21 @@
 	assert.Equal(t, late.Decide(req, now).Disposition, crash.Allowed)
 }
 
+// TestPartTrialOfEndedPeer checks that the trial of a peer that ended does not
+// keep other nodes from trying the part.
+func TestPartTrialOfEndedPeer(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	req := subjectOf("second")
+	one, two := crash.NewPartTracker("1", crash.PartsConfig{}), crash.NewPartTracker("2", crash.PartsConfig{})
+	one.Interrupted(runOf("a"), req, true, now)
+	two.Interrupted(runOf("a"), req, true, now)
+	now = now.Add(time.Second)
+	assert.Assert(t, one.StartTrial(req, now))
+	two.UpdatePeer("1", one.Export(now), now)
+	assert.Assert(t, !two.StartTrial(req, now.Add(time.Second)))
+	assert.Assert(t, two.StartTrial(req, now.Add(3*time.Second)))
+}
+
 // TestPartLimits checks that the memory and the reports of a tracker are
 // bounded, whatever happens, and that impossible reports do no harm.
 func TestPartLimits(t *testing.T) {
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -124,6 +124,7 @@
 	}
 	front.echoRequestID(reqCtx, call)
 	front.monitor.remove(call)
+	front.forwarder.guard.endTrial(call)
 	if call.cancel != nil {
 		call.cancel(errPanicked)
 	}
