Send heartbeats to the own zone in rotation in large deployments

At 119 nodes heartbeats are the largest part of what a node does when it serves little; every node sent one to each of the 23 others of its zone and to 24 of other zones in each round of 120 ms.

In deployments of more than 37 nodes the own zone now gets 12 a round and other zones 16: each node of the own zone every 240 ms, others every 720 ms. What binds on fast news, the ends of servers, goes out at once since the quarantine of parts.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -22,10 +22,13 @@
 	// It limits what a node sends and receives to about 300 heartbeats per
 	// second. In deployments of up to 37 nodes every peer gets one per round.
 	heartbeatFanout = 36
-	// crossZoneFanout is the largest number of rotating heartbeats per round of
-	// a node that does not read the store. Nodes prefer the servers of their own
-	// zone, so the load of other zones matters less.
-	crossZoneFanout = 24
+	// zoneFanout is the largest number of heartbeats per round to nodes of the own
+	// zone.
+	zoneFanout = 12
+	// crossZoneFanout is the largest number of heartbeats per round to nodes of
+	// other zones from a node that does not read the store. Nodes prefer the servers
+	// of their own zone, so the load of other zones matters less.
+	crossZoneFanout = 16
 	// claimantsPerZone is the number of nodes of each zone that get a heartbeat
 	// of the orderer in every round, because they replace it first.
 	claimantsPerZone = 2
@@ -168,44 +171,55 @@
 	return num
 }
 
-// sendHeartbeats sends one round of heartbeats. Every node sends one to each
-// node of its zone. A node that reads the store also sends one to the other
-// readers and to the first nodes of each zone, because these depend on its
-// offsets and its liveness. All other peers get theirs in rotation.
+// sendHeartbeats sends one round of heartbeats. In small deployments every peer
+// gets one. In others a node that reads the store sends one to the other readers
+// and to the first nodes of each zone, because these depend on its offsets and its
+// liveness. All other peers get theirs in rotation, those of the own zone more
+// often.
 func (peers *peers) sendHeartbeats(now time.Time) {
 	hb := peers.newHeartbeat(now)
 	addrs := peers.peerAddrs(now)
+	hb.Interval = heartbeatInterval
+	if len(addrs) <= heartbeatFanout {
+		peers.sendHeartbeatTo(hb, slices.Collect(maps.Keys(addrs)), addrs)
+		return
+	}
 	fanout := crossZoneFanout
-	if hb.ReadsStore || len(addrs) <= heartbeatFanout {
+	if hb.ReadsStore {
 		fanout = heartbeatFanout
 	}
-	frequent, rotating := peers.splitPeers(addrs, hb.ReadsStore, now)
-	if len(addrs) <= heartbeatFanout {
-		frequent, rotating = append(frequent, rotating...), nil
-	}
-	hb.Interval = heartbeatInterval
+	frequent, sameZone, others := peers.splitPeers(addrs, hb.ReadsStore, now)
 	peers.sendHeartbeatTo(hb, frequent, addrs)
-	hb.Interval = time.Duration(share.BatchCount(len(rotating), fanout)) * heartbeatInterval
-	peers.sendHeartbeatTo(hb, peers.rotation.NextBatch(rotating, fanout), addrs)
+	peers.sendInRotation(hb, &peers.zoneRotation, sameZone, zoneFanout, addrs)
+	peers.sendInRotation(hb, &peers.rotation, others, fanout, addrs)
+}
+
+// sendInRotation sends a heartbeat to the next names of a rotation, at most
+// fanout of them.
+func (peers *peers) sendInRotation(hb heartbeat, rotation *share.RoundRobin, names []string, fanout int, addrs map[string]string) {
+	hb.Interval = time.Duration(share.BatchCount(len(names), fanout)) * heartbeatInterval
+	peers.sendHeartbeatTo(hb, rotation.NextBatch(names, fanout), addrs)
 }
 
-// splitPeers returns the peers that get a heartbeat in every round and those
-// that get theirs in rotation, sorted by name.
-func (peers *peers) splitPeers(addrs map[string]string, readsStore bool, now time.Time) (frequent, rotating []string) {
+// splitPeers returns the peers that get a heartbeat in every round, and the others
+// of the own zone and of other zones, sorted by name.
+func (peers *peers) splitPeers(addrs map[string]string, readsStore bool, now time.Time) (frequent, sameZone, others []string) {
 	readers := peers.storeReaders(now)
 	cluster := peers.state.cluster.Load()
 	seenByZone := map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(addrs)) {
 		zone := cluster.nodes[name].Zone
 		seenByZone[zone]++
-		always := zone == peers.self.Zone && len(frequent) < heartbeatFanout
-		if always || readsStore && (readers[name] || seenByZone[zone] <= claimantsPerZone) {
+		switch {
+		case readsStore && (readers[name] || seenByZone[zone] <= claimantsPerZone):
 			frequent = append(frequent, name)
-		} else {
-			rotating = append(rotating, name)
+		case zone == peers.self.Zone:
+			sameZone = append(sameZone, name)
+		default:
+			others = append(others, name)
 		}
 	}
-	return frequent, rotating
+	return frequent, sameZone, others
 }
 
 // newHeartbeat returns the current heartbeat of this node, without Interval.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -88,9 +88,9 @@
 	// storeHealth.elapsed returns it, or zero.
 	storeContactAt, storeRecoveredAt atomic.Int64
 
-	// rotation selects the peers that get the next heartbeats. Only the task
-	// that sends heartbeats uses it.
-	rotation share.RoundRobin
+	// zoneRotation and rotation select the peers of the own zone and of other zones
+	// that get the next heartbeats. Only the task that sends heartbeats uses them.
+	zoneRotation, rotation share.RoundRobin
 
 	mtx      sync.Mutex
 	statuses map[string]*peerStatus
