--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -289,3 +289,22 @@
 	assert.Assert(t, len(tr.Export(now).Quarantines) <= 24)
 	assert.Equal(t, tr.Decide(subjectOf("q0"), now.Add(time.Hour*24)).Disposition, crash.Allowed)
 }
+
+// TestCrashingPartAfterQuarantine plays a part that still crashes servers when its
+// quarantine ends. Only the trial ends another server, and the next quarantine
+// begins.
+func TestCrashingPartAfterQuarantine(t *testing.T) {
+	for seed := range uint64(4) {
+		cl := runParts(partsScenario{
+			nodes: 4, heads: 6, rate: 60, share: 0.05, deadly: []core.PromptPart{"deadly"}, length: 60 * time.Second, countFrom: soundCountedFrom, seed: seed,
+		})
+		checkParts(t, cl)
+		afterwards := 0
+		for _, sent := range cl.deadlySent["deadly"] {
+			if sent.at.Sub(cl.begin) > 10*time.Second {
+				afterwards++
+			}
+		}
+		assert.Assert(t, afterwards <= maxSentLater, "%d requests sent at the end of the quarantine", afterwards)
+	}
+}
