--- a/core/crash/evaluate.go
+++ b/core/crash/evaluate.go
@@ -42,21 +42,21 @@
 }
 
 // counts reports whether the crash counts for a part that is a candidate. One
-// with an alibi must have been present on more than half of the servers that
+// with a recent success must have been present on more than half of the servers that
 // ended at the same moment. For others, servers of one domain that end at the
 // same moment count once.
-func (crs *crash) counts(part core.PromptPart, kind kindOf, alibi bool) bool {
+func (crs *crash) counts(part core.PromptPart, kind kindOf, proven bool) bool {
 	num := 0
 	for _, other := range crs.companions {
 		if _, ok := other.candidates(kind)[part]; !ok {
 			continue
 		}
 		num++
-		if !alibi && other.run.Domain != "" && other.run.Domain == crs.run.Domain {
+		if !proven && other.run.Domain != "" && other.run.Domain == crs.run.Domain {
 			return other == crs
 		}
 	}
-	return !alibi || 2*num > len(crs.companions)
+	return !proven || 2*num > len(crs.companions)
 }
 
 // contains reports whether a request with the part was at the server.
@@ -173,8 +173,8 @@
 // tally is what counts against a part: the crashes since its last success.
 type tally struct {
 	crashes []*crash
-	// alibi is set if it had a success not long before them.
-	alibi bool
+	// proven is set if it had a success not long before them.
+	proven bool
 }
 
 // tallies returns the tallies of all candidates of the crashes.
@@ -183,12 +183,12 @@
 	for _, crs := range crashes {
 		for part := range crs.candidates(kind) {
 			last := tr.lastProved(part)
-			alibi := !last.IsZero() && crs.at.Sub(last) < tr.cfg.AlibiTime
-			if last.After(crs.at) || !crs.counts(part, kind, alibi) {
+			proven := !last.IsZero() && crs.at.Sub(last) < tr.cfg.ProofTime
+			if last.After(crs.at) || !crs.counts(part, kind, proven) {
 				continue
 			}
 			if out[part] == nil {
-				out[part] = &tally{alibi: alibi}
+				out[part] = &tally{proven: proven}
 			}
 			out[part].crashes = append(out[part].crashes, crs)
 		}
@@ -219,18 +219,18 @@
 
 // certain reports whether a part crashes servers beyond reasonable doubt: it
 // was present in certainCrashes, or, if it is shared, in two crashes, in one of
-// which nothing else can be the cause. A part with an alibi needs
-// certainCrashes of which nothing else can be the cause.
+// which nothing else can be the cause. A proven part, which has a recent success,
+// needs certainCrashes of which nothing else can be the cause.
 func (tr *PartTracker) certain(part core.PromptPart, tly *tally, tallies map[core.PromptPart]*tally, kind kindOf) bool {
 	alone, num := 0, 0
 	for _, crs := range tly.crashes {
-		if tr.explained(crs) && (tly.alibi || !tr.explainedByRequest(crs)) {
+		if tr.explained(crs) && (tly.proven || !tr.explainedByRequest(crs)) {
 			continue
 		}
 		num++
 		others := 0
 		for other := range crs.candidates(kind) {
-			if rival := tallies[other]; other != part && rival != nil && !rival.alibi {
+			if rival := tallies[other]; other != part && rival != nil && !rival.proven {
 				others++
 			}
 		}
@@ -238,7 +238,7 @@
 			alone++
 		}
 	}
-	if tly.alibi {
+	if tly.proven {
 		return alone >= certainCrashes
 	}
 	return num >= certainCrashes || !tr.isWhole(part, tly) && num >= quarantineThreshold && alone > 0
@@ -275,17 +275,17 @@
 		qua.servers = append(qua.servers, crs.run.ID)
 	}
 	tr.quarantines[part] = qua
-	tr.urgent = tr.urgent || tr.witnessed(part)
+	tr.urgent = tr.urgent || tr.observed(part)
 	tr.changes = append(tr.changes, PartChange{Kind: PartQuarantined, Part: part, Servers: qua.servers, Until: qua.until})
 }
 
-// updateSuspects replaces the suspects: the shared parts without an alibi that
-// may have caused an unexplained crash, and those on probation.
+// updateSuspects replaces the suspects: the shared parts without a recent success
+// that may have caused an unexplained crash, and those on probation.
 func (tr *PartTracker) updateSuspects(crashes []*crash, now time.Time) {
 	before := tr.suspects
 	tr.suspects = map[core.PromptPart]suspicion{}
 	for part, tly := range tr.tallies(crashes, sharedParts) {
-		if tly.alibi {
+		if tly.proven {
 			continue
 		}
 		sus := suspicion{since: tly.crashes[len(tly.crashes)-1].at}
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -36,9 +36,9 @@
 	// SettleTime is the time after a crash within which the reports of other
 	// nodes arrive. No suspect is tried before.
 	SettleTime time.Duration
-	// AlibiTime is the age up to which an earlier success keeps a part from being
+	// ProofTime is the age up to which an earlier success keeps a part from being
 	// suspected after a single crash.
-	AlibiTime time.Duration
+	ProofTime time.Duration
 	// MaxCrashes and MaxQuarantined are the largest numbers of own crashes and of
 	// quarantines that are kept and exported, MaxProved the number of parts whose
 	// last success is kept.
@@ -50,7 +50,7 @@
 	defaultPartMaxQuarantineTime = 10 * time.Minute
 	defaultPartSuspicionTime     = 30 * time.Second
 	defaultSettleTime            = 200 * time.Millisecond
-	defaultAlibiTime             = time.Minute
+	defaultProofTime             = time.Minute
 	defaultMaxCrashes            = 32
 	defaultMaxQuarantined        = 64
 	defaultMaxProved             = 4096
@@ -86,7 +86,7 @@
 	cfg.MaxQuarantineTime = cmp.Or(cfg.MaxQuarantineTime, defaultPartMaxQuarantineTime)
 	cfg.SuspicionTime = cmp.Or(cfg.SuspicionTime, defaultPartSuspicionTime)
 	cfg.SettleTime = cmp.Or(cfg.SettleTime, defaultSettleTime)
-	cfg.AlibiTime = cmp.Or(cfg.AlibiTime, defaultAlibiTime)
+	cfg.ProofTime = cmp.Or(cfg.ProofTime, defaultProofTime)
 	cfg.MaxCrashes = cmp.Or(cfg.MaxCrashes, defaultMaxCrashes)
 	cfg.MaxQuarantined = cmp.Or(cfg.MaxQuarantined, defaultMaxQuarantined)
 	cfg.MaxProved = cmp.Or(cfg.MaxProved, defaultMaxProved)
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -227,7 +227,7 @@
 }
 
 // TestPartKnownToPeers checks that a quarantine reaches peers, also those that
-// start after its witness ended, and that a success anywhere ends it.
+// start after its observer ended, and that a success anywhere ends it.
 func TestPartKnownToPeers(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	req := subjectOf("deadly")
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -32,16 +32,16 @@
 
 // trialDelay returns the time after a crash at which this node may try a part.
 func (tr *PartTracker) trialDelay(part core.PromptPart) time.Duration {
-	if tr.firstWitness(part) {
+	if tr.firstObserver(part) {
 		return tr.cfg.SettleTime
 	}
 	fraction := float64(xxhash.Sum64String(tr.node+"/"+string(part))%1000) / 1000
 	return tr.cfg.SettleTime + otherTrialDelay + time.Duration(fraction*float64(tr.nodes)*float64(trialTurn))
 }
 
-// firstWitness reports whether this node is the first by name of those that saw
+// firstObserver reports whether this node is the first by name of those that saw
 // a crash with the part.
-func (tr *PartTracker) firstWitness(part core.PromptPart) bool {
+func (tr *PartTracker) firstObserver(part core.PromptPart) bool {
 	for name, peer := range tr.peers {
 		for _, ev := range peer.crashes {
 			if name < tr.node && ev.contains(part) {
@@ -49,11 +49,11 @@
 			}
 		}
 	}
-	return tr.witnessed(part)
+	return tr.observed(part)
 }
 
-// witnessed reports whether this node saw a crash with the part.
-func (tr *PartTracker) witnessed(part core.PromptPart) bool {
+// observed reports whether this node saw a crash with the part.
+func (tr *PartTracker) observed(part core.PromptPart) bool {
 	for _, ev := range tr.crashes {
 		if ev.contains(part) {
 			return true
--- a/entry/crashguard.go
+++ b/entry/crashguard.go
@@ -45,12 +45,12 @@
 }
 
 func newCrashGuard(self nodeRecord, loads *loadTracker, log *logrus.Logger, meter *nodeMetrics) *crashGuard {
-	return &crashGuard{log: log, metrics: meter, loads: loads, reportDue: make(chan struct{}, 1), partsChanged: make(chan struct{}, 1), tracker: crash.NewPartTracker(witnessName(self.Node, self.Incarnation), crash.PartsConfig{})}
+	return &crashGuard{log: log, metrics: meter, loads: loads, reportDue: make(chan struct{}, 1), partsChanged: make(chan struct{}, 1), tracker: crash.NewPartTracker(observerName(self.Node, self.Incarnation), crash.PartsConfig{})}
 }
 
-// witnessName names one run of a node, so that the evidence of its previous run
+// observerName names one run of a node, so that the evidence of its previous run
 // remains.
-func witnessName(node string, incarnation int64) string {
+func observerName(node string, incarnation int64) string {
 	return fmt.Sprintf("%s/%d", node, incarnation)
 }
 
@@ -209,7 +209,7 @@
 	if report == nil && !guard.tracker.HasPeers() {
 		return
 	}
-	guard.tracker.UpdatePeer(witnessName(node, incarnation), report, now)
+	guard.tracker.UpdatePeer(observerName(node, incarnation), report, now)
 	guard.publishChanges(now)
 }
 
