--- a/core/site/server.go
+++ b/core/site/server.go
@@ -49,6 +49,9 @@
 	// StartMillis is the start time of the process, in Unix milliseconds by its
 	// own clock.
 	StartMillis int64
+	// Updates is how often the process had written its entry. It rises with each
+	// entry of a process.
+	Updates int64
 }
 
 // HasStaged reports whether the model is staged on the server's host.
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -185,7 +185,7 @@
 			follower.recordSuccess(sent)
 		case errors.Is(err, errPeerAhead):
 		case errors.Is(err, platform.ErrTrimmed):
-			follower.log.WithFields(logrus.Fields{"event": "store_gap", "topic": follower.topic, "from": follower.nextOffset.Load()}).Warn("store removed records before they were read; reading the newest record of each key")
+			follower.log.WithFields(logrus.Fields{"event": "store_gap", "topic": follower.topic, "from": follower.nextOffset.Load(), "era": follower.store.Era()}).Warn("store removed records before they were read; reading the newest record of each key")
 			follower.needsSnapshot = true
 			sleep(ctx, retryBackoff)
 		default:
@@ -353,6 +353,9 @@
 	out := recs[:0]
 	for _, rec := range recs {
 		if old, ok := follower.latestByKey[rec.Key]; ok && old.Offset >= rec.Offset {
+			if old.Offset > rec.Offset {
+				follower.log.WithFields(logrus.Fields{"event": "record_ignored", "topic": follower.topic, "key": rec.Key, "offset": rec.Offset, "known": old.Offset, "era": follower.store.Era()}).Info("ignoring a record with a lower offset than the known one of its key")
+			}
 			continue
 		}
 		follower.latestByKey[rec.Key] = rec
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -125,7 +125,7 @@
 	reg.log.WithFields(logrus.Fields{
 		"event": "server", "server": srv.ID, "offset": off, "addr": srv.Addr, "zone": srv.Zone, "domain": srv.Domain,
 		"draining": srv.Draining, "group": srv.Group.Name, "epoch": srv.Group.Epoch, "rank": srv.Group.Rank,
-		"state": srv.Group.State, "model": srv.Model, "staged": srv.StagedModels, "born": srv.StartMillis,
+		"state": srv.Group.State, "model": srv.Model, "staged": srv.StagedModels, "born": srv.StartMillis, "updates": srv.Updates,
 	}).Info("registration of a server changed")
 }
 
