Count the first era after era 0 as a return of the store

A server that was not in the copy yet was dropped at once by nodes that had followed a store of era 0.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -146,13 +146,14 @@
 	if change.End() != before {
 		follower.behindSince.Store(0)
 	}
-	if change.End().Era > before.Era && before.Era > 0 {
+	restored := change.End().Era > before.Era && before != site.Position{}
+	if restored {
 		follower.log.WithFields(logrus.Fields{
 			"event": "store_restored", "topic": follower.topic, "era": change.End().Era, "end": change.End().Offset, "before": before.Offset, "changed": len(change.Records()), "removed": len(change.Removed()),
 		}).Warn("store came back from an older copy; reading its content again")
 	}
 	if change.End().Era > before.Era {
-		follower.health.recordEra(change.End().Era, time.Now())
+		follower.health.recordEra(change.End().Era, restored, time.Now())
 		follower.eraChanged()
 	}
 	return change, true
--- a/entry/state.go
+++ b/entry/state.go
@@ -84,17 +84,17 @@
 	restored atomic.Bool
 }
 
-// recordEra records that this node has read records of an era. The return of a
-// store from an older copy counts as the end of an outage, however short.
-func (health *storeHealth) recordEra(era int64, now time.Time) {
-	previous := health.era.Load()
-	if era <= previous {
+// recordEra records that this node has read records of an era. restored is set if it
+// had read records of an earlier one: the return of a store from an older copy counts
+// as the end of an outage, however short.
+func (health *storeHealth) recordEra(era int64, restored bool, now time.Time) {
+	if era <= health.era.Load() {
 		return
 	}
 	health.era.Store(era)
 	elapsed := health.elapsed(now)
 	health.eraSeenAt.Store(elapsed)
-	if previous > 0 {
+	if restored {
 		health.restored.Store(true)
 		health.recoveredAt.Store(elapsed)
 	}
