Don't take a repeated refusal for the answer to a later request

What callers would see: a request on a kept connection is told 'not run' though the server runs it (REFUSED), or it runs at a second server too (TWICE), when a faulty server writes an earlier refusal once more.

Cause: a response without the request's ID was accepted if it was a failure. One with another request's ID was skipped already.

On a connection that had carried an earlier request, a response must name this one; if it doesn't, the outcome is unknown and the connection is closed. On a new connection nothing else can have been answered.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -279,13 +279,18 @@
 func (fwd *forwarder) classifyResponse(call *call, attempt *attempt) (outcome, error) {
 	body := attempt.body
 	status := body.Status()
+	// A kept connection may deliver an answer to an earlier request again.
+	unnamed := len(body.Header(platform.HeaderAttemptID)) == 0
+	if unnamed && body.Reused() {
+		body.Abort()
+		return outcomeUnknown, core.Errorf(core.CodeCrossedAnswer, "response from %s on a kept connection does not name this request", attempt.server.ID)
+	}
 	fwd.recordLimit(call, attempt)
 	if len(body.Header(platform.HeaderNotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest {
 		fwd.recordRefusal(attempt)
 		return outcomeNotRun, core.Errorf(core.CodeRefused, "status %d from %s", status, attempt.server.ID)
 	}
-	foreign := status < 300 && len(body.Header(platform.HeaderAttemptID)) == 0
-	if foreign || len(body.Header(fasthttp.HeaderContentEncoding)) > 0 {
+	if unnamed && status < fasthttp.StatusMultipleChoices || len(body.Header(fasthttp.HeaderContentEncoding)) > 0 {
 		body.Abort()
 		return outcomeUnknown, core.Errorf(core.CodeCrossedAnswer, "response from %s does not belong to this request", attempt.server.ID)
 	}
--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -39,6 +39,10 @@
 // Header returns the value of a response header, or nil if it is absent.
 func (body *Body) Header(name string) []byte { return body.resp.Header.Peek(name) }
 
+// Reused reports whether the response came on a connection that had carried an
+// earlier request.
+func (body *Body) Reused() bool { return body.conn.reused }
+
 // Framed reports whether the response has a length or chunks, so that its end is
 // known from the response and not only from the end of the connection.
 func (body *Body) Framed() bool { return body.resp.Header.ContentLength() >= -1 }
