Tell the keys of the content to replicas that may lack removals

A page says whether its sender knows all removals since its start; the last one names all keys to a replica that may lack some. Nothing begins anew. A delayed update no longer brings back a key that was removed since.

--- a/core/keyed/replica.go
+++ b/core/keyed/replica.go
@@ -39,8 +39,7 @@
 // Request asks another replica for the records from a position on.
 type Request struct {
 	From site.Position
-	// Partial is set if the content before From is read in part only. So the removal of
-	// keys before it need not be known.
+	// Partial is set if removals of keys before From may be unknown.
 	Partial bool
 }
 
@@ -53,9 +52,11 @@
 	Start, End site.Position
 	// More is set if End is not the end of what the sender knows.
 	More bool
-	// Full is set if the page begins the whole content, since the sender does not know
-	// which keys were removed after the requested position.
-	Full bool
+	// Lossy is set if the sender does not know all keys that were removed since Start.
+	Lossy bool
+	// Keys are all keys of the content at End. They are set on the last page for a
+	// replica that may not know all removals.
+	Keys []string
 }
 
 // Replica is a copy of a keyed topic.
@@ -68,6 +69,8 @@
 	// unconfirmed holds the keys whose records were read in an earlier era and not
 	// yet in the current one.
 	unconfirmed map[string]struct{}
+	// partial is set while removals of keys before the position may be unknown.
+	partial bool
 	// removalsSince is the offset from which on each removal of a key is known.
 	removalsSince int64
 }
@@ -81,9 +84,9 @@
 // Next returns the position up to which the replica is complete.
 func (rep *Replica) Next() site.Position { return rep.next }
 
-// Incomplete reports whether the replica has entered an era and not read all of its
-// content yet.
-func (rep *Replica) Incomplete() bool { return len(rep.unconfirmed) > 0 }
+// Incomplete reports whether the replica may hold keys that were removed before its
+// position.
+func (rep *Replica) Incomplete() bool { return rep.partial }
 
 // Latest returns the newest record of a key.
 func (rep *Replica) Latest(key string) (site.Record, bool) {
@@ -92,22 +95,24 @@
 }
 
 // ApplySnapshot applies the newest record of each key, read from the store whose
-// topic ended at end before. It returns false if the snapshot is of an earlier era.
+// topic ended at end before. It returns false if the snapshot is of an earlier era. A
+// snapshot that ends before the replica changes nothing.
 func (rep *Replica) ApplySnapshot(recs []site.Record, end site.Position) (Change, bool) {
 	if end.Era < rep.next.Era {
 		return Change{}, false
 	}
 	rep.enter(end.Era)
 	ch := rep.begin()
+	if end.Before(rep.next) {
+		return rep.finish(ch), true
+	}
 	present := make(map[string]struct{}, len(recs))
 	for _, rec := range recs {
 		present[rec.Key] = struct{}{}
 		rep.apply(rec, &ch)
 	}
-	if !end.Before(rep.next) {
-		rep.next, rep.removalsSince = end, end.Offset
-		rep.removeAbsent(present, &ch)
-	}
+	rep.next, rep.removalsSince, rep.partial = end, end.Offset, false
+	rep.removeAbsent(present, end, &ch)
 	return rep.finish(ch), true
 }
 
@@ -118,9 +123,7 @@
 		return Change{}, false
 	}
 	ch := rep.begin()
-	for _, rec := range recs {
-		rep.apply(rec, &ch)
-	}
+	rep.applyNext(recs, &ch)
 	rep.advance(end)
 	return rep.finish(ch), true
 }
@@ -130,28 +133,22 @@
 	return Request{From: rep.next, Partial: rep.Incomplete()}
 }
 
-// ApplyPage applies a page of another replica, the response to req. It returns false
-// if the page is of an earlier era or doesn't continue where the replica ends.
-func (rep *Replica) ApplyPage(req Request, page Page) (Change, bool) {
-	switch {
-	case page.Start.Era > rep.next.Era && page.Start.Offset == 0:
+// ApplyPage applies a page of another replica. It returns false if the page is of an
+// earlier era or doesn't continue where the replica ends.
+func (rep *Replica) ApplyPage(page Page) (Change, bool) {
+	if page.Start.Era > rep.next.Era && page.Start.Offset == 0 {
 		rep.enter(page.Start.Era)
-	case page.Full && page.Start.Era == rep.next.Era && req.From == rep.next:
-		rep.reenter()
 	}
 	if page.Start.Era != rep.next.Era || rep.next.Before(page.Start) {
 		return Change{}, false
 	}
 	ch := rep.begin()
-	for _, rec := range page.Records {
-		rep.apply(rec, &ch)
-	}
+	rep.applyNext(page.Records, &ch)
+	rep.partial = rep.partial || page.Lossy && rep.next.Before(page.End)
 	rep.advance(page.End)
-	if rep.Incomplete() || page.Full {
+	if rep.partial {
 		rep.removalsSince = rep.next.Offset
-	}
-	if !page.More {
-		rep.removeUnconfirmed(&ch)
+		rep.applyKeys(page, &ch)
 	}
 	return rep.finish(ch), true
 }
@@ -161,17 +158,44 @@
 // keys and values is cut off.
 func (rep *Replica) Page(req Request, maxBytes int) Page {
 	from := req.From
-	full := from.Era != rep.next.Era || from.Offset < rep.removalsSince && !req.Partial
-	if full {
+	if from.Era != rep.next.Era {
 		from = site.Position{Era: rep.next.Era}
 	}
-	page := Page{Start: from, End: rep.next, More: len(rep.unconfirmed) > 0, Full: full}
+	page := Page{Start: from, End: rep.next, More: rep.partial, Lossy: from != req.From || from.Offset < rep.removalsSince}
 	for key, rec := range rep.latest {
 		if _, old := rep.unconfirmed[key]; !old && rec.Offset >= from.Offset {
 			page.Records = append(page.Records, rec)
 		}
 	}
-	return page.Cut(maxBytes)
+	page = page.Cut(maxBytes)
+	if !page.More && (page.Lossy || req.Partial) {
+		page.Keys = rep.liveKeys()
+	}
+	return page
+}
+
+func (rep *Replica) liveKeys() []string {
+	out := []string{}
+	for key, rec := range rep.latest {
+		if len(rec.Value) > 0 {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// applyKeys removes the keys that are not part of the content at the end of the last
+// page.
+func (rep *Replica) applyKeys(page Page, ch *Change) {
+	if page.More || page.Keys == nil {
+		return
+	}
+	rep.partial = false
+	present := make(map[string]struct{}, len(page.Keys))
+	for _, key := range page.Keys {
+		present[key] = struct{}{}
+	}
+	rep.removeAbsent(present, page.End, ch)
 }
 
 // Cut returns the page without the records beyond maxBytes of keys and values. It
@@ -195,13 +219,7 @@
 	if era <= rep.next.Era {
 		return
 	}
-	rep.next = site.Position{Era: era}
-	rep.reenter()
-}
-
-// reenter begins to read the whole content of the current era.
-func (rep *Replica) reenter() {
-	rep.next.Offset, rep.removalsSince = 0, 0
+	rep.next, rep.removalsSince, rep.partial = site.Position{Era: era}, 0, true
 	for key, rec := range rep.latest {
 		if len(rec.Value) == 0 {
 			delete(rep.latest, key)
@@ -224,6 +242,16 @@
 	}
 }
 
+// applyNext applies records that continue the replica. A key that is unknown although
+// its record precedes the replica's position was removed in between.
+func (rep *Replica) applyNext(recs []site.Record, ch *Change) {
+	for _, rec := range recs {
+		if _, known := rep.latest[rec.Key]; known || rec.Offset >= rep.next.Offset {
+			rep.apply(rec, ch)
+		}
+	}
+}
+
 // apply stores a record of the current era unless the known one of its key is
 // newer. One that is kept gets the record's offset, so that it is handed on.
 func (rep *Replica) apply(rec site.Record, ch *Change) {
@@ -248,23 +276,16 @@
 	ch.records = append(ch.records, rec)
 }
 
-// removeAbsent removes the keys that are not part of a snapshot which the
-// replica's position follows.
-func (rep *Replica) removeAbsent(present map[string]struct{}, ch *Change) {
+// removeAbsent removes the keys that are not part of the content at a position.
+func (rep *Replica) removeAbsent(present map[string]struct{}, end site.Position, ch *Change) {
 	for key, rec := range rep.latest {
 		_, unconfirmed := rep.unconfirmed[key]
-		if _, ok := present[key]; !ok && len(rec.Value) > 0 && (unconfirmed || rec.Offset < rep.next.Offset) {
+		if _, ok := present[key]; !ok && len(rec.Value) > 0 && (unconfirmed || rec.Offset < end.Offset) {
 			rep.remove(key, ch)
 		}
 	}
 }
 
-func (rep *Replica) removeUnconfirmed(ch *Change) {
-	for key := range rep.unconfirmed {
-		rep.remove(key, ch)
-	}
-}
-
 // remove removes a key before the replica's position.
 func (rep *Replica) remove(key string, ch *Change) {
 	old := rep.latest[key]
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -394,7 +394,7 @@
 	follower.log.WithFields(logrus.Fields{
 		"event": "mirror", "topic": follower.topic, "peer": ahead.addr, "from": req.From.Offset, "era": page.End.Era, "end": page.End.Offset, "records": len(page.Records), "more": page.More, "error": err,
 	}).Info("read from a peer that is ahead")
-	if err != nil || !follower.applyPeerRecords(func(rep *keyed.Replica) (keyed.Change, bool) { return rep.ApplyPage(req, page) }) {
+	if err != nil || !follower.applyPeerRecords(func(rep *keyed.Replica) (keyed.Change, bool) { return rep.ApplyPage(page) }) {
 		sleep(ctx, peerRetryDelay/2+rand.N(peerRetryDelay))
 		return
 	}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -41,7 +41,8 @@
 	Era     int64         `cbor:"3,keyasint,omitempty"`
 	Start   int64         `cbor:"4,keyasint,omitempty"`
 	More    bool          `cbor:"5,keyasint,omitempty"`
-	Full    bool          `cbor:"6,keyasint,omitempty"`
+	Lossy   bool          `cbor:"6,keyasint,omitempty"`
+	Keys    []string      `cbor:"7,keyasint"`
 }
 
 // Source provides a node's copy of the topics.
@@ -75,7 +76,7 @@
 		if !ok {
 			return nil, connect.NewError(connect.CodeNotFound, errUnknownTopic)
 		}
-		return connect.NewResponse(&pageMessage{Records: page.Records, End: page.End.Offset, Era: page.End.Era, Start: page.Start.Offset, More: page.More, Full: page.Full}), nil
+		return connect.NewResponse(&pageMessage{Records: page.Records, End: page.End.Offset, Era: page.End.Era, Start: page.Start.Offset, More: page.More, Lossy: page.Lossy, Keys: page.Keys}), nil
 	}, connect.WithCodec(peer.Codec())))
 	return mux
 }
@@ -100,6 +101,6 @@
 	}
 	msg := resp.Msg
 	return keyed.Page{
-		Records: msg.Records, Start: site.Position{Era: msg.Era, Offset: msg.Start}, End: site.Position{Era: msg.Era, Offset: msg.End}, More: msg.More, Full: msg.Full,
+		Records: msg.Records, Start: site.Position{Era: msg.Era, Offset: msg.Start}, End: site.Position{Era: msg.Era, Offset: msg.End}, More: msg.More, Lossy: msg.Lossy, Keys: msg.Keys,
 	}, nil
 }
