--- a/entry/registry.go
+++ b/entry/registry.go
@@ -119,29 +119,34 @@
 }
 
 func (reg *serverRegistry) applyChange(change topicChange, now time.Time) {
-	defer recoverPanic(reg.log, reg.metrics, "registry", nil)
 	for _, rec := range change.Records() {
-		if len(rec.Value) == 0 {
-			reg.remove(rec.Key, change.fromPeer, now)
-			continue
-		}
-		srv, err := platform.DecodeServer(rec.Key, rec.Value)
-		if err != nil {
-			reg.log.WithFields(logrus.Fields{"event": "entry_unreadable", "server": rec.Key, "offset": rec.Offset, "error": err}).Warn("failed to decode the registration of a server; the server is not used")
-			delete(reg.servers, rec.Key)
-			continue
-		}
-		if change.Restored() && reg.olderThanKnown(srv) {
-			reg.holdBack(srv, rec.Offset, now)
-			continue
-		}
-		reg.upsert(srv, rec.Offset)
+		reg.applyRecord(rec, change, now)
 	}
 	for _, key := range change.Removed() {
 		reg.remove(key, change.fromPeer, now)
 	}
 }
 
+// applyRecord applies one record. An unexpected error ends this record alone.
+func (reg *serverRegistry) applyRecord(rec site.Record, change topicChange, now time.Time) {
+	defer recoverPanic(reg.log, reg.metrics, "registry", nil)
+	if len(rec.Value) == 0 {
+		reg.remove(rec.Key, change.fromPeer, now)
+		return
+	}
+	srv, err := platform.DecodeServer(rec.Key, rec.Value)
+	if err != nil {
+		reg.log.WithFields(logrus.Fields{"event": "entry_unreadable", "server": rec.Key, "offset": rec.Offset, "error": err}).Warn("failed to decode the registration of a server; the server is not used")
+		delete(reg.servers, rec.Key)
+		return
+	}
+	if change.Restored() && reg.olderThanKnown(srv) {
+		reg.holdBack(srv, rec.Offset, now)
+		return
+	}
+	reg.upsert(srv, rec.Offset)
+}
+
 // holdBack keeps what this node knows of a server whose registration was restored
 // from an older copy. A removed server gets its registration back if that still
 // stands after restoredEntryTimeout.
