Act on what servers say in answers: that they leave, and asked pauses

What callers would see: requests at a server that is about to end, as its entry still says ready (DRAIN), and requests that a server has asked not to get (BUDGET).

Cause: no code read Server-Leaving, nor the Retry-After of a server's 503. The orderer learnt that a head leaves from its entry alone.

A process that says in an answer that it leaves counts as draining at once, whatever its entry says, until it ends: one place, the registry's views, from which requests, the planner of groups and the orderer choose. Nodes pass it on in heartbeats. A pause binds the node that was asked for it, in share.Balancer beside the limits, and ends with the process. If all servers pause, callers are refused at once and told when the first pause ends. A date, a negative value or text asks for nothing.

TestServerLeaving (323 and 380 requests in half a second after the notice), TestServerLeavingHead, TestServerPause (669 to 1033 requests in the pause) and TestServerPauseOfAll failed before and pass. entry and soak passed as a whole.

--- a/core/share/balancer.go
+++ b/core/share/balancer.go
@@ -87,12 +87,14 @@
 	peerProgressBegin time.Time
 	zones             zoneContacts
 	limits            serverLimits
-	scanOffset        int
+	// pauses holds the pauses that servers asked this node for, by ID.
+	pauses     map[string]pause
+	scanOffset int
 }
 
 // NewBalancer returns a Balancer for a node in the zone.
 func NewBalancer(zone string) *Balancer {
-	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}, zones: newZoneContacts(), limits: newServerLimits()}
+	return &Balancer{zone: zone, statsByServer: map[string]*serverStats{}, peers: map[string]peerReport{}, peerLoadByServer: map[string]Load{}, lostUntil: map[string]time.Time{}, peerProgressAt: map[string]time.Time{}, zones: newZoneContacts(), limits: newServerLimits(), pauses: map[string]pause{}}
 }
 
 func (bal *Balancer) statsOf(id string) *serverStats {
@@ -302,8 +304,9 @@
 }
 
 // Choose returns the least loaded server that runs fewer requests than its
-// capacity, isn't excluded, and has named no limit that this node has used up. Servers that failed recently come last. The
-// choice has no server if all are full or in zones that can't be reached.
+// capacity, isn't excluded, has not asked for a pause, and has named no limit that this
+// node has used up. Servers that failed recently come last. The choice has no server
+// if all are full or in zones that can't be reached.
 //
 // With many nodes, all of which see loads that are one report old, all would
 // choose the same server. Each then compares a few random servers first: those
@@ -377,7 +380,7 @@
 		if slices.Contains(excluded, srv.ID) || now.Before(bal.lostUntil[srv.ID]) || bal.zones.unreachable(srv.Zone, now) {
 			continue
 		}
-		if !bal.limits.allows(srv.ID, srv.StartMillis, now) {
+		if bal.pauseLeft(srv, now) > 0 || !bal.limits.allows(srv.ID, srv.StartMillis, now) {
 			continue
 		}
 		load := bal.Load(srv.ID, now)
--- a/core/site/server.go
+++ b/core/site/server.go
@@ -54,6 +54,15 @@
 	Updates int64
 }
 
+// ServerRun identifies one process of a server.
+type ServerRun struct {
+	ID          string `cbor:"1,keyasint"`
+	StartMillis int64  `cbor:"2,keyasint"`
+}
+
+// Run returns the process that the entry describes.
+func (srv *Server) Run() ServerRun { return ServerRun{ID: srv.ID, StartMillis: srv.StartMillis} }
+
 // HasStaged reports whether the model is staged on the server's host.
 func (srv *Server) HasStaged(model string) bool {
 	for _, name := range srv.StagedModels {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -95,6 +95,8 @@
 	metrics *nodeMetrics
 	loads   *loadTracker
 	guard   *crashGuard
+	// noteLeaving records that a server said in the answer to a request that it leaves.
+	noteLeaving func(run site.ServerRun, request string)
 }
 
 // beginRequest counts a request as in flight at a server. Its prompt tokens
@@ -286,6 +288,7 @@
 		return outcomeUnknown, core.Errorf(core.CodeCrossedAnswer, "response from %s on a kept connection does not name this request", attempt.server.ID)
 	}
 	fwd.recordLimit(call, attempt)
+	fwd.recordNotices(call, attempt)
 	if len(body.Header(platform.HeaderNotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest {
 		fwd.recordRefusal(attempt)
 		return outcomeNotRun, core.Errorf(core.CodeRefused, "status %d from %s", status, attempt.server.ID)
@@ -321,6 +324,30 @@
 	}
 }
 
+// recordNotices records what a server says of itself in an answer: that it leaves, and
+// for how long it wants no requests of this node.
+func (fwd *forwarder) recordNotices(call *call, attempt *attempt) {
+	srv, body := attempt.server, attempt.body
+	if string(body.Header(platform.HeaderServerLeaving)) == leavingValue {
+		fwd.noteLeaving(srv.Run(), call.id)
+	}
+	pause, ok := platform.DecodePause(string(body.Header(fasthttp.HeaderRetryAfter)))
+	if !ok || body.Status() != fasthttp.StatusServiceUnavailable {
+		return
+	}
+	started := false
+	fwd.loads.withLock(func(balancer *share.Balancer) {
+		started = balancer.RecordPause(srv.ID, srv.StartMillis, pause, time.Now())
+	})
+	if started {
+		fwd.metrics.serverPauses.Inc()
+		fwd.log.WithFields(logrus.Fields{"event": "server_pause", "request": call.id, "server": srv.ID, "born": srv.StartMillis, "pause": pause}).Info("a server asked this node for a pause")
+	}
+}
+
+// leavingValue is the value of the header of a server that leaves.
+const leavingValue = "1"
+
 // recordRefusal records a failure of the server that refused the request, and
 // logs the server that it names as the cause, if any.
 func (fwd *forwarder) recordRefusal(attempt *attempt) {
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -127,15 +129,24 @@
 	}
 	srvs := fwd.candidates(call)
 	var choice share.Choice
+	paused, pauseLeft := 0, time.Duration(0)
 	fwd.loads.withLock(func(balancer *share.Balancer) {
 		choice = balancer.Choose(srvs, call.requestLimit, call.triedServers, now)
+		if choice.Server == nil {
+			paused, pauseLeft = balancer.Pauses(srvs, now)
+		}
 	})
 	if choice.Server == nil {
 		code := core.CodeQueueFull
 		if len(srvs) == 0 {
 			code = core.CodeNoGroup
 		}
-		return nil, fwd.noServerError(call, core.Errorf(code, "none of %d servers of %s has capacity", len(srvs), call.service.Name))
+		err := fwd.noServerError(call, core.Errorf(code, "none of %d servers of %s has capacity, %d asked for a pause", len(srvs), call.service.Name, paused))
+		var notRun *notRunError
+		if paused == len(srvs) && paused > 0 && errors.As(err, &notRun) {
+			notRun.retryAfter = pauseLeft + rand.N(maxRetryAfter)
+		}
+		return nil, err
 	}
 	if fwd.log.IsLevelEnabled(logrus.InfoLevel) {
 		fwd.log.WithFields(logrus.Fields{
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -62,6 +62,8 @@
 	// of requests that arrive at the node in a second.
 	Limits   map[string]share.LimitReport `cbor:"19,keyasint,omitempty"`
 	Arrivals float64                      `cbor:"20,keyasint,omitempty"`
+	// Leaving are the processes of servers that said that they leave.
+	Leaving []site.ServerRun `cbor:"23,keyasint,omitempty"`
 	// Stopping is set while the node stops. Such a node does not become the
 	// orderer.
 	Stopping bool `cbor:"7,keyasint"`
@@ -249,6 +251,7 @@
 		hb.ActiveServers = balancer.ActiveServers(now.Add(-heartbeatInterval))
 		hb.Suspects = append(balancer.StalledServers(streamSilenceTimeout, now), balancer.SlowServers()...)
 	})
+	hb.Leaving = peers.registry.leavingRuns()
 	hb.Demands = peers.loads.demands(now)
 	hb.Arrivals = peers.arrivals.perSecond()
 	hb.Crashes = peers.guard.report(now)
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -16,8 +16,12 @@
 	peerErrors *metrics.Counter
 	// panics counts the unexpected errors that ended a request, a datagram or a
 	// step of a task.
-	panics        *metrics.Counter
-	logDropped    *metrics.Counter
+	panics     *metrics.Counter
+	logDropped *metrics.Counter
+	// serverPauses counts the pauses that servers asked for, serversLeaving the servers
+	// that said in an answer that they leave.
+	serverPauses, serversLeaving *metrics.Counter
+
 	servers       *metrics.Gauge
 	configVersion *metrics.Gauge
 }
@@ -25,13 +29,15 @@
 func newNodeMetrics() *nodeMetrics {
 	set := metrics.NewSet()
 	meter := &nodeMetrics{
-		set:           set,
-		probes:        set.NewCounter("kumquathinge_probes_total"),
-		peerErrors:    set.NewCounter("kumquathinge_peer_errors_total"),
-		panics:        set.NewCounter("kumquathinge_panics_total"),
-		logDropped:    set.NewCounter("kumquathinge_log_lines_dropped_total"),
-		servers:       set.NewGauge("kumquathinge_servers", nil),
-		configVersion: set.NewGauge("kumquathinge_configuration_version", nil),
+		set:            set,
+		probes:         set.NewCounter("kumquathinge_probes_total"),
+		peerErrors:     set.NewCounter("kumquathinge_peer_errors_total"),
+		panics:         set.NewCounter("kumquathinge_panics_total"),
+		logDropped:     set.NewCounter("kumquathinge_log_lines_dropped_total"),
+		serverPauses:   set.NewCounter("kumquathinge_server_pauses_total"),
+		serversLeaving: set.NewCounter("kumquathinge_servers_leaving_total"),
+		servers:        set.NewGauge("kumquathinge_servers", nil),
+		configVersion:  set.NewGauge("kumquathinge_configuration_version", nil),
 	}
 	set.NewGauge("kumquathinge_heap_bytes", func() float64 {
 		var mem runtime.MemStats
--- a/entry/node.go
+++ b/entry/node.go
@@ -131,6 +131,9 @@
 	node.peers = newPeers(node.state, loads, fwd.guard, health, node.log, node.metrics, self, node.frontend.draining.Load)
 	node.peers.arrivals = &arrivalRate{count: node.frontend.requestCount.Load}
 	node.registry = newServerRegistry(node.state, health, node.log, node.metrics)
+	fwd.noteLeaving = func(run site.ServerRun, request string) {
+		node.registry.submitLeaving(leavingNotice{run: run, request: request})
+	}
 	node.registrar = newNodeRegistrar(node.state, store, node.log, node.metrics, self)
 	node.orderer = &orderer{
 		state: node.state, health: health, store: store, serverClient: platform.NewServers(node.pools), peers: node.peers, loads: loads,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -198,6 +198,9 @@
 		}
 	}
 	peers.noteConfigVersion(&hb)
+	for _, run := range hb.Leaving {
+		peers.registry.submitLeaving(leavingNotice{run: run})
+	}
 	peers.guard.updatePeer(hb.Node, hb.Incarnation, hb.Crashes, now)
 	peers.loads.updateDemands(hb.Node, hb.Demands, now.Add(max(peerTimeout, demandTimeoutIntervals*hb.Interval)))
 	peers.loads.withLock(func(balancer *share.Balancer) {
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +52,11 @@
 	// outage of the store.
 	overrides  map[string]stateOverride
 	observedIn chan []observedState
+	// leaving holds the processes that said that they leave. leavingSnapshot is a copy
+	// for other tasks.
+	leaving         leavingServers
+	leavingSnapshot atomic.Pointer[map[site.ServerRun]bool]
+	leavingIn       chan leavingNotice
 }
 
 // heldRegistration is the restored registration of a removed server, which is not
@@ -73,6 +79,7 @@
 		changes: make(chan topicChange, 16), tableUpdates: make(chan struct{}, 1),
 		servers: map[string]*site.Server{}, pendingExpiry: map[string]bool{}, expired: map[string]expiredServer{}, gone: map[string]expiredServer{}, heldBack: map[string]heldRegistration{},
 		overrides: map[string]stateOverride{}, observedIn: make(chan []observedState, 8),
+		leaving: leavingServers{notedAt: map[site.ServerRun]time.Time{}}, leavingIn: make(chan leavingNotice, 64),
 	}
 }
 
@@ -101,6 +108,10 @@
 			if !reg.applyObserved(states, time.Now()) {
 				continue
 			}
+		case notice := <-reg.leavingIn:
+			if !reg.noteLeaving(notice, time.Now()) {
+				continue
+			}
 		case <-timer:
 			reg.expirePending(time.Now())
 			reg.releaseHeldBack(time.Now())
@@ -265,6 +276,7 @@
 	maps.DeleteFunc(reg.gone, func(_ string, gone expiredServer) bool { return time.Since(gone.expiredAt) > goneRetention })
 	servers := maps.Clone(reg.servers)
 	reg.applyOverrides(servers, time.Now())
+	reg.applyLeaving(servers, time.Now())
 	reg.state.view.Store(site.NewView(servers, reg.state.table.Load()).WithRecentlyRemoved(removed))
 	reg.metrics.servers.Set(float64(len(reg.servers)))
 	reg.state.wakeOrderer()
