--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -50,6 +50,9 @@
 	servers     []*server
 	version     int64
 	serverCount int
+	// config is the newest configuration, copies are copies of the store.
+	config []byte
+	copies []platfk.StoreCopy
 	// inRotation holds the nodes that pass the readiness checks.
 	inRotation []*Node
 
@@ -71,6 +74,8 @@
 	draining bool
 	// drainAckedAt is the time at which the drain was acknowledged.
 	drainAckedAt time.Time
+	// frozen is set while the server is frozen, removed once it has left.
+	frozen, removed atomic.Bool
 }
 
 // newDeployment starts the servers and nodes. If it fails, it returns the partial
@@ -101,6 +106,7 @@
 			return dep, err
 		}
 	}
+	dep.copies = []platfk.StoreCopy{dep.store.Copy()}
 	return dep, nil
 }
 
@@ -208,14 +214,18 @@
 	if err != nil {
 		return err
 	}
+	dep.config = raw
 	dep.store.Append(platform.TopicOperator, platform.KeyConfig, raw)
 	return nil
 }
 
 func versionRoute(version int64) string { return fmt.Sprintf("v%d", version) }
 
-// watchReadiness checks the readiness of the nodes and updates the rotation until
-// done closes.
+// maxCopies is the number of recent copies of the store from which it may come back.
+const maxCopies = 5
+
+// watchReadiness checks the readiness of the nodes, updates the rotation and copies
+// the store until done closes.
 func (dep *deployment) watchReadiness(done <-chan struct{}) {
 	failures := map[*Node]int{}
 	client := &http.Client{Timeout: readinessInterval, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -235,6 +245,8 @@
 		}
 		dep.mu.Lock()
 		dep.inRotation = ready
+		dep.copies = append(dep.copies, dep.store.Copy())
+		dep.copies = dep.copies[max(0, len(dep.copies)-maxCopies):]
 		dep.mu.Unlock()
 		select {
 		case <-done:
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -42,6 +42,8 @@
 	case Configure:
 		err = dep.writeConfig()
 		dep.scheduleVersionCheck()
+	case StoreRestore:
+		undo = dep.injectRestore(rng)
 	case StoreRefuse, StoreDrop, StoreSilent, StoreSlow, StoreLost, StoreCompact:
 		undo = dep.injectStoreFault(fault, rng)
 	default:
@@ -86,6 +88,40 @@
 	StoreLost:   {Drop: true, Applied: true},
 }
 
+// injectRestore makes the store refuse all calls. When that ends, it comes back from
+// a copy, and what the operator and the servers wrote since is written again.
+func (dep *deployment) injectRestore(rng *rand.Rand) func() {
+	dep.mu.Lock()
+	cp := dep.copies[rng.IntN(len(dep.copies))]
+	dep.mu.Unlock()
+	for _, node := range dep.nodes {
+		node.storeEndpoint.SetFault(func(string, string) platfk.Fault { return storeFaults[StoreRefuse] })
+		node.recordFault()
+	}
+	return func() {
+		dep.store.Restore(cp)
+		for _, node := range dep.nodes {
+			node.storeEndpoint.SetFault(nil)
+			node.recordFault()
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(rewriteDelay))))
+		dep.mu.Lock()
+		dep.store.Append(platform.TopicOperator, platform.KeyConfig, dep.config)
+		dep.mu.Unlock()
+		for _, srv := range dep.allServers() {
+			if srv.removed.Load() {
+				time.AfterFunc(entryTimeout, func() { dep.store.Append(platform.TopicServers, srv.ID(), nil) })
+			} else if !srv.frozen.Load() {
+				srv.Register()
+			}
+		}
+	}
+}
+
+// rewriteDelay is the longest time after the store's return within which the operator
+// and the servers write again what was lost.
+const rewriteDelay = 1500 * time.Millisecond
+
 // injectStoreFault compacts the store, or makes its calls fail for some nodes or
 // for all of them.
 func (dep *deployment) injectStoreFault(fault Fault, rng *rand.Rand) func() {
@@ -170,7 +206,10 @@
 	dep.mu.Lock()
 	srv.drainAckedAt, srv.draining = time.Now(), true
 	dep.mu.Unlock()
-	time.AfterFunc(maxDrainDelay+drainGrace, func() { dep.store.Append(platform.TopicServers, srv.ID(), nil) })
+	time.AfterFunc(maxDrainDelay+drainGrace, func() {
+		srv.removed.Store(true)
+		dep.store.Append(platform.TopicServers, srv.ID(), nil)
+	})
 	return nil
 }
 
@@ -189,8 +228,12 @@
 // entryTimeout if the fault lasts longer.
 func (dep *deployment) freezeServer(srv *server, duration time.Duration) func() {
 	srv.Freeze()
+	srv.frozen.Store(true)
 	if duration > entryTimeout {
 		time.AfterFunc(entryTimeout, func() { dep.store.Append(platform.TopicServers, srv.ID(), nil) })
 	}
-	return srv.Restart
+	return func() {
+		srv.frozen.Store(false)
+		srv.Restart()
+	}
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -55,6 +57,9 @@
 	ServerCut
 	ServerStall
 	numKinds
+	// StoreRestore makes the store refuse all calls and then come back from an older
+	// copy. It is drawn apart from the other kinds, whose schedules stay as they were.
+	StoreRestore
 )
 
 // LastPlanned is the last kind of planned maintenance.
@@ -68,7 +73,12 @@
 	"server_refuse", "server_cut", "server_stall",
 }
 
-func (kind Kind) String() string { return kindNames[kind] }
+func (kind Kind) String() string {
+	if kind == StoreRestore {
+		return "store_restore"
+	}
+	return kindNames[kind]
+}
 
 // Fault is one scheduled fault of a run.
 type Fault struct {
@@ -120,7 +130,7 @@
 			startsAfter += extraPlannedGap
 		}
 		if startsAfter > duration {
-			return faults, planned
+			return addRestores(faults, seed, duration, planned), planned
 		}
 		if rng.Float64() > repeatProbability {
 			kind = Kind(rng.Int64N(kinds))
@@ -130,3 +140,23 @@
 		})
 	}
 }
+
+// restoreProbability is the probability that the store comes back from an older copy
+// in a run. Then it does so once or twice.
+const restoreProbability = 0.4
+
+// addRestores adds the returns of the store from older copies.
+func addRestores(faults []Fault, seed uint64, duration time.Duration, planned bool) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	if planned || rng.Float64() > restoreProbability {
+		return faults
+	}
+	for range 1 + rng.IntN(2) {
+		faults = append(faults, Fault{
+			Kind: StoreRestore, StartsAfter: time.Duration(rng.Int64N(int64(duration))), Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration)/2)),
+			TargetSeed: rng.Uint64(), Share: 1,
+		})
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.StartsAfter, b.StartsAfter) })
+	return faults
+}
