Show that the product's own log is not followed after a return

The log service names no era, so an offset that is given out again can't be told from the first one.

--- a/store/logfk/logfk.go
+++ b/store/logfk/logfk.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// Restore makes the log come back from a copy that ends before offset next. The
+// offsets of the lost entries are given out again.
+func (log *Log) Restore(next core.Offset) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.entries = log.entries[:max(0, next-log.firstOffset)]
+}
+
 // NextOffset returns the offset of the next append.
 func (log *Log) NextOffset() core.Offset {
 	log.mu.Lock()
