--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -40,9 +40,12 @@
 	}
 }
 
-// noteLeaving applies a notice and reports whether it is new.
+// noteLeaving applies a notice and reports whether it is new. A peer's notice counts
+// only for a registered process.
 func (reg *serverRegistry) noteLeaving(notice leavingNotice, now time.Time) bool {
-	if _, known := reg.leaving.notedAt[notice.run]; known {
+	_, known := reg.leaving.notedAt[notice.run]
+	srv := reg.servers[notice.run.ID]
+	if known || notice.request == "" && (srv == nil || srv.Run() != notice.run) {
 		return false
 	}
 	reg.leaving.notedAt[notice.run] = now
