Test that a renewed term goes on with a repair; drop the list of former terms

A plan that stands opens its group in any term of its planner, so the list decided nothing (TestRenewedTerm passes without it). With a new planner in place of the renewed one the test fails: the group gets another epoch after a step.

--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"kumquathinge/core/site"
@@ -112,9 +111,7 @@
 
 // Planner plans the groups of a deployment during one term of its orderer.
 type Planner struct {
-	term int64
-	// renewedTerms are the former terms that the Planner continued.
-	renewedTerms  []int64
+	term          int64
 	epochsIssued  int64
 	namesIssued   int64
 	pendingOrders map[string]*pendingOrder
@@ -151,16 +148,9 @@
 // Renew continues with a later term, which the orderer got without another one in
 // between. So what the Planner knows of its orders still holds.
 func (pl *Planner) Renew(term int64) {
-	pl.renewedTerms = append(pl.renewedTerms, pl.term)
 	pl.term, pl.epochsIssued = term, 0
 }
 
-// issued reports whether this Planner issued the epoch.
-func (pl *Planner) issued(epoch int64) bool {
-	term := epoch / epochsPerTerm
-	return term == pl.term || slices.Contains(pl.renewedTerms, term)
-}
-
 // Term returns the term.
 func (pl *Planner) Term() int64 { return pl.term }
 
--- a/core/place/planner_test.go
+++ b/core/place/planner_test.go
@@ -206,6 +206,41 @@
 	}
 }
 
+// TestRenewedTerm guards against a repair that begins anew when the orderer gets a
+// later term without another one in between: the group must serve in the epoch that
+// was begun.
+func TestRenewedTerm(t *testing.T) {
+	begun := 0
+	for num := range 25 {
+		fc, pl := newFormedCluster(t, 5)
+		head := fc.ServingHeads(large)[0]
+		group := head.Server().Group
+		fc.Kill(head.Members()[1+num%5])
+		fc.Run(pl, 800*time.Millisecond+time.Duration(num)*emul.StepInterval)
+		epoch := newestEpoch(fc, group.Name)
+		pl.Renew(9)
+		fc.Run(pl, 4*time.Second)
+		assert.Equal(t, len(fc.ServingHeads(large)), 2)
+		checkViolations(t, fc)
+		if epoch > group.Epoch {
+			begun++
+			assert.Equal(t, newestEpoch(fc, group.Name), epoch, "after %d steps", num)
+		}
+	}
+	assert.Assert(t, begun > 0)
+}
+
+// newestEpoch returns the newest epoch that a running server reports for a group.
+func newestEpoch(fc *emul.Cluster, name string) int64 {
+	newest := int64(0)
+	for _, id := range fc.IDs() {
+		if eng := fc.Engine(id); eng.Running() && eng.Server().Group.Name == name {
+			newest = max(newest, eng.Server().Group.Epoch)
+		}
+	}
+	return newest
+}
+
 // TestDrainingMember drains a member, which must be replaced while it still
 // runs.
 func TestDrainingMember(t *testing.T) {
