--- a/entry/peers.go
+++ b/entry/peers.go
@@ -287,6 +287,34 @@
 // delay of a change.
 const sharedReaderMinNodes = 12
 
+// liveReaders tells which live peers reach the store: any, the orderer, or one of the
+// own zone that precedes this node by name. rank is the number of live peers that
+// precede it.
+type liveReaders struct {
+	any, orderer, earlier bool
+	rank                  int
+}
+
+// findReaders returns which live peers reach the store. A peer whose build knows no
+// eras of the store can't be followed.
+func (peers *peers) findReaders(cluster *clusterState, now time.Time) liveReaders {
+	var out liveReaders
+	peers.eachLive(now, func(hb *heartbeat) {
+		out.any = out.any || hb.storeReachable()
+		if len(hb.Eras) == 0 {
+			return
+		}
+		if hb.Node == cluster.orderer.Node && hb.Incarnation == cluster.orderer.Incarnation && hb.IsOrderer {
+			out.orderer = hb.storeReachable()
+		}
+		if hb.Zone == peers.self.Zone && hb.Node <= peers.self.Node && !hb.Stopping {
+			out.earlier = out.earlier || hb.storeReachable()
+			out.rank++
+		}
+	})
+	return out
+}
+
 // readsStore reports whether this node should read the store. That holds for
 // the orderer. It holds for other nodes if there are few nodes or the orderer
 // does not reach the store: for a node if no live node of its zone that
@@ -298,29 +326,14 @@
 	if cluster.term > 0 && cluster.orderer == peers.self || cluster.term == 0 && cluster.lapsedOrderer == peers.self {
 		return true
 	}
-	rank, anyReachable, earlierReader, sharedReader := 0, false, false, false
-	peers.eachLive(now, func(hb *heartbeat) {
-		anyReachable = anyReachable || hb.storeReachable()
-		if len(hb.positions()) == 0 {
-			// A build that knows no eras can't be followed.
-			return
-		}
-		if hb.Node == cluster.orderer.Node && hb.Incarnation == cluster.orderer.Incarnation && hb.IsOrderer {
-			sharedReader = hb.storeReachable()
-		}
-		if hb.Zone != peers.self.Zone || hb.Node > peers.self.Node || hb.Stopping {
-			return
-		}
-		earlierReader = earlierReader || hb.storeReachable()
-		rank++
-	})
-	if sharedReader && len(cluster.nodes) >= sharedReaderMinNodes {
+	readers := peers.findReaders(cluster, now)
+	if readers.orderer && len(cluster.nodes) >= sharedReaderMinNodes {
 		return false
 	}
-	if !earlierReader && rank < fallbackReaders {
+	if !readers.earlier && readers.rank < fallbackReaders {
 		return true
 	}
-	if anyReachable {
+	if readers.any {
 		peers.unreachableSince.Store(0)
 		return false
 	}
