--- a/entry/peers.go
+++ b/entry/peers.go
@@ -287,9 +287,9 @@
 // delay of a change.
 const sharedReaderMinNodes = 12
 
-// liveReaders tells which live peers reach the store: any, the orderer, or one of the
-// own zone that precedes this node by name. rank is the number of live peers that
-// precede it.
+// liveReaders states which live peers reach the store: any, the orderer, or one of the
+// own zone that precedes this node by name. rank is the number of live peers of the
+// zone that precede it.
 type liveReaders struct {
 	any, orderer, earlier bool
 	rank                  int
--- a/entry/resumeerror_test.go
+++ b/entry/resumeerror_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"kumquathinge/platform"
 	"kumquathinge/platform/platfk"
 )
 
@@ -29,7 +30,7 @@
 		"error without length": {Status: http.StatusInternalServerError, CloseDelimited: true},
 		"error cut":            {Status: http.StatusInternalServerError, CutAfter: 1},
 		"refused":              {Refuse: true},
-		"another answer first": {Preamble: "HTTP/1.1 500 X\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\noops"},
+		"another answer first": {Preamble: "HTTP/1.1 500 X\r\n" + platform.HeaderAttemptID + ": other\r\nContent-Length: 4\r\n\r\noops"},
 		"unnamed error first":  {Preamble: "HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\noops"},
 	} {
 		t.Run(name, func(t *testing.T) {
