--- a/core/keyed/replica.go
+++ b/core/keyed/replica.go
@@ -154,8 +154,7 @@
 }
 
 // Page returns the records from a position on, all of them if the position is of
-// another era or removals since then are unknown. A page of more than maxBytes of
-// keys and values is cut off.
+// another era. A page of more than maxBytes of keys and values is cut off.
 func (rep *Replica) Page(req Request, maxBytes int) Page {
 	from := req.From
 	if from.Era != rep.next.Era {
@@ -174,6 +173,7 @@
 	return page
 }
 
+// liveKeys returns the keys that have not been removed.
 func (rep *Replica) liveKeys() []string {
 	out := []string{}
 	for key, rec := range rep.latest {
