Let each node read the added entry before the store returns

Cause: the test's. It waited until any node had sent a request to the added server, so the second node might not have read its entry when the store lost it, and the test lets the server write again only after the check of that node. Each node must send a request now: the check is stricter, its bound stays.

--- a/entry/restored_test.go
+++ b/entry/restored_test.go
@@ -131,9 +131,10 @@
 	added := platfk.NewServer(rig.store, platfk.ServerConfig{ID: "p9", Service: "plain", Zone: "z1"})
 	t.Cleanup(added.Close)
 	for _, node := range rig.nodes {
-		rig.waitFor("request to the added server", func() bool {
+		rig.waitFor("request of each node to the added server", func() bool {
+			before := len(added.Requests())
 			rig.get(node, "/read/x", nil)
-			return len(added.Requests()) > 0
+			return len(added.Requests()) > before
 		})
 	}
 	rig.plainServers[1].Close()
