--- a/review/_standin/node.go
+++ b/review/_standin/node.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// changeSettings writes the settings file again with a higher memory limit.
+func (nd *node) changeSettings() error {
+	nd.memoryMB += 10
+	raw, err := nd.settings()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(nd.dir, nd.name+".json"), raw, 0o600)
+}
+
 // signal sends a signal to the process.
 func (nd *node) signal(sig syscall.Signal) {
 	nd.mu.Lock()
