--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -209,7 +209,7 @@
 // broken, with lines that say why.
 type testCase func(bd *bed) (broken bool, verdict []string, err error)
 
-var cases = map[string]testCase{"longstream": longStream, "drain": drainMember}
+var cases = map[string]testCase{"longstream": longStream, "drain": drainMember, "uploads": uploads}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
