Log responses to other requests on kept connections

A response that names another request was skipped without a trace, and the line of a refused attempt didn't say whether its connection had carried other requests.

event=response_skipped, kumquathinge_skipped_responses_total, and "kept connection" in the error of a refused attempt.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -297,6 +297,7 @@
 		fwd.learnNoAnswer(call, srv, time.Since(now), err)
 		return fwd.recordFailure(call, srv, err), nil, err
 	}
+	fwd.recordSkipped(call, srv, body.Skipped())
 	attempt := &attempt{server: srv, body: body, cancel: cancel, forwarder: fwd, call: call, sentAt: now, answeredAt: time.Now()}
 	out, err := fwd.classifyResponse(call, attempt)
 	if out != outcomeAnswered {
@@ -361,7 +362,7 @@
 	fwd.recordNotices(call, attempt)
 	if len(body.Header(platform.HeaderNotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest {
 		fwd.recordRefusal(attempt)
-		return outcomeNotRun, core.Errorf(core.CodeRefused, "status %d from %s", status, attempt.server.ID)
+		return outcomeNotRun, core.Errorf(core.CodeRefused, "status %d from %s (kept connection: %v)", status, attempt.server.ID, body.Reused())
 	}
 	if unnamed && status < fasthttp.StatusMultipleChoices || len(body.Header(fasthttp.HeaderContentEncoding)) > 0 {
 		body.Abort()
@@ -373,6 +374,16 @@
 	return outcomeAnswered, nil
 }
 
+// recordSkipped records the responses to other requests that a server sent before the one
+// to a call.
+func (fwd *forwarder) recordSkipped(call *call, srv *site.Server, num int) {
+	if num == 0 {
+		return
+	}
+	fwd.metrics.skippedResponses.Add(num)
+	fwd.log.WithFields(logrus.Fields{"event": "response_skipped", "request": call.id, "server": srv.ID, "count": num}).Warn("a kept connection delivered responses to other requests")
+}
+
 // recordLimit records the limit that a response names, or that it names none any
 // more. A failure without one says nothing.
 func (fwd *forwarder) recordLimit(call *call, attempt *attempt) {
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -26,6 +26,8 @@
 	// serverPauses counts the pauses that servers asked for, serversLeaving the servers
 	// that said in an answer that they leave.
 	serverPauses, serversLeaving *metrics.Counter
+	// skippedResponses counts the responses to other requests on kept connections.
+	skippedResponses *metrics.Counter
 	// coldHeldBack counts the requests for which no server was found because of cold
 	// ones, coldRefused those that were decided anew right before they were sent.
 	coldHeldBack, coldRefused *metrics.Counter
@@ -53,6 +55,7 @@
 		logDropped:       set.NewCounter("kumquathinge_log_lines_dropped_total"),
 		callerConnErrors: set.NewCounter("kumquathinge_caller_connection_errors_total"),
 		serverPauses:     set.NewCounter("kumquathinge_server_pauses_total"),
+		skippedResponses: set.NewCounter("kumquathinge_skipped_responses_total"),
 		serversLeaving:   set.NewCounter("kumquathinge_servers_leaving_total"),
 		coldHeldBack:     set.NewCounter("kumquathinge_cold_held_back_total"),
 		coldRefused:      set.NewCounter("kumquathinge_cold_redecided_total"),
--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -27,8 +27,9 @@
 	// allowCloseDelimited accepts an orderly close of the connection as the end of
 	// the body.
 	allowCloseDelimited bool
-	// mismatched is set if the connection delivered a response to another request.
-	mismatched bool
+	// skipped is the number of responses to other requests that the connection
+	// delivered.
+	skipped int
 }
 
 var _ io.ReadCloser = (*Body)(nil)
@@ -43,6 +44,10 @@
 // earlier request.
 func (body *Body) Reused() bool { return body.conn.reused }
 
+// Skipped returns how many responses to other requests the connection delivered before
+// this one.
+func (body *Body) Skipped() int { return body.skipped }
+
 // ContentLength returns the length of the body in bytes, or a negative number if the
 // header does not state it.
 func (body *Body) ContentLength() int {
@@ -110,7 +115,7 @@
 	if body.complete {
 		_ = body.resp.CloseBodyStream()
 	}
-	body.pool.release(body.conn, body.stop, body.complete && !body.mismatched && !body.resp.ConnectionClose())
+	body.pool.release(body.conn, body.stop, body.complete && body.skipped == 0 && !body.resp.ConnectionClose())
 	return nil
 }
 
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -108,7 +108,7 @@
 		if len(echo) == 0 || string(echo) == ex.EchoValue {
 			return nil
 		}
-		body.mismatched = true
+		body.skipped++
 		if stream := body.resp.BodyStream(); stream != nil {
 			_, err = io.Copy(io.Discard, io.LimitReader(stream, int64(pool.cfg.MaxBody)))
 		}
