Send nothing more on a connection that carried a refusal

Cause: after a refusal the connection went back to the pool. A server that answers too often may send that refusal once more where the next answer is due. If the request that was refused is under way again on the connection, the copy names it; if only the begin of a copy arrives, the header of the answer that is due completes it, ID included. Either was taken for the answer: the request ran, and was sent to a second server or refused. The class: an answer that is attributed by what it says of itself, on a connection whose earlier answers may be repeated.

The connection of a refusal, or of a response that does not belong to the request, is closed at once. A copy of a refusal then has no connection to arrive on, whatever it names. The IDs of responses on kept connections are checked as before, which covers the copies of answers to requests that ran.

TestRepeatedRefusal sent its copies on whichever connection came next, also on a new one, where a server can't repeat anything.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -301,7 +301,8 @@
 	attempt := &attempt{server: srv, body: body, cancel: cancel, forwarder: fwd, call: call, sentAt: now, answeredAt: time.Now()}
 	out, err := fwd.classifyResponse(call, attempt)
 	if out != outcomeAnswered {
-		attempt.body.AwaitEOF()
+		// The server may send a refusal once more, so nothing else is sent on the connection.
+		body.Abort()
 		attempt.close()
 	}
 	return out, attempt, err
@@ -355,7 +356,6 @@
 	// A kept connection may deliver an answer to an earlier request again.
 	unnamed := len(body.Header(platform.HeaderAttemptID)) == 0
 	if unnamed && body.Reused() {
-		body.Abort()
 		return outcomeUnknown, core.Errorf(core.CodeCrossedAnswer, "response from %s on a kept connection does not name this request", attempt.server.ID)
 	}
 	fwd.recordLimit(call, attempt)
@@ -365,7 +365,6 @@
 		return outcomeNotRun, core.Errorf(core.CodeRefused, "status %d from %s (kept connection: %v)", status, attempt.server.ID, body.Reused())
 	}
 	if unnamed && status < fasthttp.StatusMultipleChoices || len(body.Header(fasthttp.HeaderContentEncoding)) > 0 {
-		body.Abort()
 		return outcomeUnknown, core.Errorf(core.CodeCrossedAnswer, "response from %s does not belong to this request", attempt.server.ID)
 	}
 	if status < fasthttp.StatusInternalServerError {
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -275,6 +275,7 @@
 	for name, val := range hdr {
 		req.Header.Set(name, val)
 	}
+	resp.id = req.Header.Get(platform.HeaderAttemptID)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	res, err := client.Do(req)
 	if err != nil {
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -28,14 +28,18 @@
 		"unavailable, without an ID":         fmt.Sprintf(bare, 503),
 	} {
 		t.Run(name, func(t *testing.T) {
-			rig := newTestCluster(t, 1, 1)
+			rig := newTestClusterWith(t, 1, 1, func(rig *testCluster) { rig.keepAlive = true })
 			rig.waitReady()
 			ran := false
-			for num := range 6 {
-				setReplies(rig.plainServers, func(*http.Request, int) platfk.Response { return platfk.Response{Refuse: true} })
-				resp := rig.post(rig.nodes[0], fmt.Sprint("/charge/refused", num), nil)
-				assert.Equal(t, resp.status, http.StatusServiceUnavailable)
-				setReplies(rig.plainServers, func(*http.Request, int) platfk.Response { return platfk.Response{Preamble: preamble} })
+			for num := range 12 {
+				// The connection has carried a refusal or the answer to a request that ran.
+				refused := num%2 == 0
+				setReplies(rig.plainServers, func(*http.Request, int) platfk.Response {
+					return platfk.Response{Refuse: refused, Again: preamble}
+				})
+				resp := rig.post(rig.nodes[0], fmt.Sprint("/charge/first", num), nil)
+				assert.Equal(t, resp.status == http.StatusServiceUnavailable, refused)
+				setReplies(rig.plainServers, func(*http.Request, int) platfk.Response { return platfk.Response{} })
 				resp = rig.post(rig.nodes[0], fmt.Sprint("/charge/", num), nil)
 				runs := runCount(rig.plainServers, resp.id)
 				ran = ran || runs > 0
