Send orders and probes on connections of their own

The second answer to a request that ran was taken for an accepted order, and that to an order for the answer to the next one, so that the planner counted on groups that had not been opened or left.

Their connections carry nothing else now and are closed. TestOrderOnOwnConnection failed before: 'done' for an order that the server had rejected.

--- a/io/wire/body.go
+++ b/io/wire/body.go
@@ -27,6 +27,8 @@
 	// allowCloseDelimited accepts an orderly close of the connection as the end of
 	// the body.
 	allowCloseDelimited bool
+	// exclusive is set if the connection carries no other exchange.
+	exclusive bool
 	// skipped is the number of responses to other requests that the connection
 	// delivered.
 	skipped int
@@ -115,7 +117,7 @@
 	if body.complete {
 		_ = body.resp.CloseBodyStream()
 	}
-	body.pool.release(body.conn, body.stop, body.complete && body.skipped == 0 && !body.resp.ConnectionClose())
+	body.pool.release(body.conn, body.stop, body.complete && !body.exclusive && body.skipped == 0 && !body.resp.ConnectionClose())
 	return nil
 }
 
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -21,6 +21,9 @@
 	IOTimeout time.Duration
 	// NoReuse forces a new connection.
 	NoReuse bool
+	// Exclusive forces a new connection that carries no other exchange. It is for
+	// responses that do not name their request.
+	Exclusive bool
 	// AllowCloseDelimited accepts a response without a length that ends with an
 	// orderly close of the connection.
 	AllowCloseDelimited bool
@@ -79,7 +82,7 @@
 	if err != nil {
 		return nil, conn != nil && conn.reused, err
 	}
-	body := &Body{ctx: ctx, pool: pool, conn: conn, stop: stop, allowCloseDelimited: ex.AllowCloseDelimited}
+	body := &Body{ctx: ctx, pool: pool, conn: conn, stop: stop, allowCloseDelimited: ex.AllowCloseDelimited, exclusive: ex.Exclusive}
 	body.resp.StreamBody = true
 	body.resp.SkipBody = ex.Req.Header.IsHead()
 	err = pool.readHeader(body, ex)
@@ -156,7 +159,7 @@
 	if len(ex.Req.Header.Host()) == 0 {
 		ex.Req.SetHost(pool.addr)
 	}
-	conn := pool.takeIdle(ex.NoReuse)
+	conn := pool.takeIdle(ex.NoReuse || ex.Exclusive)
 	if conn != nil {
 		if err := pool.beforeSend(conn, ex); err != nil {
 			return nil, nil, err
