--- a/io/wire/config.go
+++ b/io/wire/config.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -20,6 +21,8 @@
 // Config holds the timeouts and limits of a Pool. Fields that are not positive
 // take their defaults.
 type Config struct {
+	// Dial opens connections. Nil selects a net.Dialer with the timeouts of the Config.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DialTimeout is the timeout for opening a connection.
 	DialTimeout time.Duration
 	// IOTimeout is the timeout of each read and each write: the longest wait for
@@ -53,6 +56,17 @@
 	return val
 }
 
+// dial opens a connection to addr.
+func (cfg Config) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if cfg.Dial == nil {
+		dialer := net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: cfg.keepAlive(), Control: cfg.control}
+		return dialer.DialContext(ctx, "tcp", addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
+	defer cancel()
+	return cfg.Dial(ctx, "tcp", addr)
+}
+
 // keepAliveProbes is the number of keep-alive probes within AckTimeout.
 const keepAliveProbes = 2
 
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -124,6 +123,17 @@
 	}
 }
 
+// Connect opens a connection and keeps it for a later request. It returns an error with
+// core.CodeDialFailed if that fails.
+func (pool *Pool) Connect(ctx context.Context) error {
+	conn, err := pool.dial(ctx)
+	if err != nil {
+		return err
+	}
+	pool.release(conn, func() bool { return true }, true)
+	return nil
+}
+
 // ResetOnTimeout calls Reset if err is a timeout: whatever broke one connection
 // has probably broken the others too.
 func (pool *Pool) ResetOnTimeout(err error) {
@@ -243,8 +253,7 @@
 		return nil, eris.Wrap(core.Errorf(core.CodeDialFailed, "connection pool is closed"), pool.addr)
 	}
 	generation := pool.generation.Load()
-	dialer := net.Dialer{Timeout: pool.cfg.DialTimeout, KeepAliveConfig: pool.cfg.keepAlive(), Control: pool.cfg.control}
-	raw, err := dialer.DialContext(ctx, "tcp", pool.addr)
+	raw, err := pool.cfg.dial(ctx, pool.addr)
 	if err != nil {
 		return nil, eris.Wrap(core.Errorf(core.CodeDialFailed, "%v", err), pool.addr)
 	}
