Relay requests through peers while a node reaches no backend server

Cause: a node's own links were the only way from its callers to the servers, and a dependency that failed for this node alone was treated like servers that fail: each request tried four of them for 250 ms each and was refused. The class: a failure of the observer that is taken for one of the observed.

A node that has lost a service (core/reach) relays its requests to a peer that has not, which handles them like its own callers', with its shares, retries and limits. A request runs no more often than before: a relayed one isn't repeated unless the peer surely did not send it, and the peer knows how many servers may have run it. Streams in progress go on through a peer. The same cause elsewhere: such a node stays no orderer if a peer reaches the model servers, doesn't keep others from reading the store in its place, and reports no suspects and no cold servers of a lost service.

--- a/core/site/server.go
+++ b/core/site/server.go
@@ -159,7 +159,10 @@
 	// address of the store.
 	CallerAddr, ReadinessAddr, StoreAddr string
 	// PeerPort is the UDP port for messages between entry VMs.
-	PeerPort    int
+	PeerPort int
+	// RelayPort is the TCP port for requests that entry VMs relay to each other, zero to
+	// disable this.
+	RelayPort   int
 	MemoryBytes int64
 	// StopGrace is the time between a stop request and the forced end of the
 	// process.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,7 +37,7 @@
 // attempt is one try to get a response from a server, from the header of the
 // response on.
 type attempt struct {
-	server    *site.Server
+	target
 	body      *wire.Body
 	cancel    context.CancelCauseFunc
 	forwarder *forwarder
@@ -54,6 +54,9 @@
 // recordEvent records an event of the stream and the interval since the
 // previous one. The first event shows that the server executes the request.
 func (attempt *attempt) recordEvent(gap time.Duration) {
+	if attempt.server == nil {
+		return
+	}
 	attempt.forwarder.loads.withLock(func(balancer *share.Balancer) {
 		if !attempt.started {
 			balancer.RequestStarted(attempt.server.ID, attempt.call.promptTokens)
@@ -79,10 +82,15 @@
 		return
 	}
 	attempt.closed = true
-	attempt.learnEnd()
+	if attempt.server != nil {
+		attempt.learnEnd()
+	}
 	_ = attempt.body.Close()
 	attempt.cancel(nil)
 	attempt.call.cancelAttempt.Store(nil)
+	if attempt.server == nil {
+		return
+	}
 	attempt.forwarder.guard.endTrial(attempt.call)
 	waiting := attempt.call.promptTokens
 	if attempt.started {
@@ -100,6 +108,11 @@
 	loads   *loadTracker
 	guard   *crashGuard
 	quota   *quota.Quota
+	reach   *reachMonitor
+	// peers relay calls whose servers this node can't reach, peerPools are the connections
+	// to them.
+	peers     *peers
+	peerPools *wire.Pools
 	// noteLeaving records that a server said in the answer to a request that it leaves.
 	noteLeaving func(run site.ServerRun, request string)
 	resumed     *resumeGate
@@ -125,10 +138,13 @@
 	})
 }
 
-// recordProgress records that the server of a call sent data.
+// recordProgress records that the server of a call, nil for a peer, sent data.
 func (fwd *forwarder) recordProgress(call *call, srv *site.Server) {
 	now := time.Now()
 	call.recordProgress(now)
+	if srv == nil {
+		return
+	}
 	fwd.loads.withLock(func(balancer *share.Balancer) {
 		balancer.RecordProgress(srv.ID, now)
 		balancer.RecordContact(srv.Zone, now)
@@ -165,6 +181,17 @@
 // a *notRunError only if the request certainly did not run.
 func (fwd *forwarder) sendWithRetries(call *call) (*attempt, error) {
 	for {
+		if peer, ok := fwd.peerFor(call); ok {
+			out, attempt, err := fwd.tryPeer(call, peer)
+			fwd.metrics.recordPeerAttempt(out)
+			if out == outcomeAnswered {
+				return attempt, nil
+			}
+			if err = fwd.checkRetry(call, target{peer: peer}, out, err); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		err := fwd.guard.admit(call)
 		if err != nil {
 			return nil, err
@@ -175,7 +202,7 @@
 			srv, err = fwd.chooseServer(call)
 			if err != nil {
 				fwd.guard.endTrial(call)
-				if fwd.awaitResume(call, err) {
+				if fwd.hasPeer(call) || fwd.awaitResume(call, err) {
 					continue
 				}
 				return nil, err
@@ -188,7 +215,7 @@
 			return attempt, nil
 		}
 		fwd.guard.endTrial(call)
-		err = fwd.checkRetry(call, srv, out, err)
+		err = fwd.checkRetry(call, target{server: srv}, out, err)
 		if err != nil {
 			return nil, err
 		}
@@ -198,31 +225,20 @@
 // checkRetry decides whether a request is sent again after a failed attempt. It
 // returns nil if so, and otherwise the error of the request. A failed dial does
 // not use up the retry budget.
-func (fwd *forwarder) checkRetry(call *call, srv *site.Server, out outcome, cause error) error {
-	if !errors.Is(cause, errColdLimit) || call.possibleRuns.Load() == 0 {
+func (fwd *forwarder) checkRetry(call *call, tgt target, out outcome, cause error) error {
+	if srv := tgt.server; srv != nil && (!errors.Is(cause, errColdLimit) || call.possibleRuns.Load() == 0) {
 		call.addTried(srv)
 	}
 	if out == outcomeUnknown {
 		call.possibleRuns.Add(1)
 	}
 	now := time.Now()
-	reason := ""
-	switch {
-	case call.ctx.Err() != nil:
-		reason = "request ended"
+	reason := fwd.endReason(call, tgt, out, cause, now)
+	if call.ctx.Err() != nil {
 		cause = context.Cause(call.ctx)
-	case out == outcomeUnknown && int(call.possibleRuns.Load()) >= fwd.maxAttempts(call):
-		reason = "no attempts left"
-	case len(call.tried()) >= maxServersTried:
-		reason = "too many servers tried"
-	case core.CodeOf(cause) == core.CodeDialFailed:
-	case call.granted.Load() != nil:
-		// The retry was counted when it was granted.
-	case !fwd.loads.allowRetry(call.service.Name, now):
-		reason = "retry budget exhausted"
 	}
 	fwd.log.WithFields(logrus.Fields{
-		"event": "attempt_failed", "request": call.id, "server": srv.ID, "outcome": out, "error": cause,
+		"event": "attempt_failed", "request": call.id, "server": tgt, "outcome": out, "error": cause,
 		"sent": call.possibleRuns.Load(), "tried": len(call.tried()), "left": call.timeLeft(now), "again": reason == "", "reason": reason,
 		"events": call.attemptEvents.Load(), "parts": call.subject.Shared,
 	}).Info("attempt failed")
@@ -230,15 +246,47 @@
 		return nil
 	}
 	if call.possibleRuns.Load() == 0 {
-		return &notRunError{cause: cause, reason: reason}
+		return &notRunError{cause: cause, reason: reason, retryAfter: call.peerRetryAfter}
 	}
 	return cause
 }
 
+// endReason returns why a request is not sent again after a failed attempt, and an empty
+// string if it is.
+func (fwd *forwarder) endReason(call *call, tgt target, out outcome, cause error, now time.Time) string {
+	reason := ""
+	switch {
+	case call.ctx.Err() != nil:
+		reason = "request ended"
+	case call.refusedByPeer:
+		reason = "refused by a peer"
+	case out == outcomeUnknown && int(call.possibleRuns.Load()) >= fwd.maxAttempts(call):
+		reason = "no attempts left"
+	case len(call.tried()) >= maxServersTried && !fwd.hasPeer(call):
+		reason = "too many servers tried"
+	case core.CodeOf(cause) == core.CodeDialFailed || tgt.server == nil && out == outcomeNotRun:
+	case call.granted.Load() != nil || call.peerGranted.Swap(false):
+		// The retry was counted when it was granted.
+	case !fwd.loads.allowRetry(call.service.Name, now):
+		reason = "retry budget exhausted"
+	}
+	return reason
+}
+
+// recordBroken records that an attempt ended after the header of its response and not
+// because of the request.
+func (fwd *forwarder) recordBroken(call *call, tgt target, cause error) {
+	if tgt.server == nil || call.ctx.Err() != nil {
+		return
+	}
+	fwd.guard.interrupted(call, tgt.server, cause, true)
+	fwd.recordFailure(call, tgt.server, cause)
+}
+
 // retryServerError reports whether a request is sent to another server after an
 // error response, and counts the attempt if so.
 func (fwd *forwarder) retryServerError(call *call, srv *site.Server) bool {
-	if call.route.Kind != site.KindIdempotent || int(call.possibleRuns.Load())+1 >= fwd.maxAttempts(call) || !fwd.loads.allowRetry(call.service.Name, time.Now()) {
+	if srv == nil || call.route.Kind != site.KindIdempotent || int(call.possibleRuns.Load())+1 >= fwd.maxAttempts(call) || !fwd.loads.allowRetry(call.service.Name, time.Now()) {
 		return false
 	}
 	call.possibleRuns.Add(1)
@@ -297,8 +345,9 @@
 		fwd.learnNoAnswer(call, srv, time.Since(now), err)
 		return fwd.recordFailure(call, srv, err), nil, err
 	}
+	fwd.reach.recordResponse(call.service.Name, body.Reused())
 	fwd.recordSkipped(call, srv, body.Skipped())
-	attempt := &attempt{server: srv, body: body, cancel: cancel, forwarder: fwd, call: call, sentAt: now, answeredAt: time.Now()}
+	attempt := &attempt{target: target{server: srv}, body: body, cancel: cancel, forwarder: fwd, call: call, sentAt: now, answeredAt: time.Now()}
 	out, err := fwd.classifyResponse(call, attempt)
 	if out != outcomeAnswered {
 		// The server may send a refusal once more, so nothing else is sent on the connection.
@@ -335,8 +384,11 @@
 	if errors.Is(err, errColdLimit) || errors.Is(err, errZoneEvacuated) {
 		return outcomeNotRun
 	}
-	fwd.loads.cold.recordFailure(call, srv, core.CodeOf(err))
+	if !fwd.reach.lost(call.service.Name) {
+		fwd.loads.cold.recordFailure(call, srv, core.CodeOf(err))
+	}
 	if call.blamesServer(err) {
+		fwd.reach.recordFailure(call.service.Name)
 		fwd.loads.withLock(func(balancer *share.Balancer) { balancer.RecordFailure(srv.ID, time.Now()) })
 	}
 	if core.CodeOf(err) == core.CodeDialFailed {
--- a/entry/call.go
+++ b/entry/call.go
@@ -33,6 +33,17 @@
 	levels    []int
 	conn      net.Conn
 	startedAt time.Time
+	// relayed is set if a peer relays the request of its caller, viaPeer if this node
+	// relayed it to a peer when it arrived.
+	relayed, viaPeer bool
+	apiKey           string
+	// triedPeers are the peers to which the request was relayed. refusedByPeer is set if one
+	// refused it, and peerRetryAfter is the time after which its caller may return.
+	triedPeers    []string
+	refusedByPeer bool
+	// peerGranted is set if the retry of the next attempt, at a peer, is counted.
+	peerGranted    atomic.Bool
+	peerRetryAfter time.Duration
 	// deadline is the earlier of the caller's deadline and the end of the
 	// route's timeout.
 	deadline time.Time
--- a/entry/callmonitor.go
+++ b/entry/callmonitor.go
@@ -116,12 +116,12 @@
 		return
 	}
 	cause := monitor.abortCause(call, srv, view, now)
-	if cause == nil || !monitor.forwarder.grantRetry(call, srv, now) {
+	if cause == nil || !monitor.forwarder.grantPeer(call, now) && !monitor.forwarder.grantRetry(call, srv, now) {
 		return
 	}
 	monitor.log.WithFields(logrus.Fields{
 		"event": "attempt_aborted", "request": call.id, "server": srv.ID, "silent": call.sinceProgress(now), "error": cause, "sent": call.possibleRuns.Load(),
-	}).Info("attempt aborted; another server has a place for the request")
+	}).Info("attempt aborted; another server has a place for the request, or a peer reaches one")
 	call.abortAttempt(cancel, cause)
 }
 
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -19,6 +19,7 @@
 	"kumquathinge/entry"
 	"kumquathinge/platform"
 	"kumquathinge/platform/platfk"
+	"kumquathinge/soak"
 )
 
 // Names and limits of a testCluster.
@@ -59,6 +60,8 @@
 	stepTime time.Duration
 	// metricsPort is the port of the nodes' metrics, zero to disable.
 	metricsPort int
+	// cuttable makes the nodes reach servers through proxies, so that they can be cut off.
+	cuttable bool
 	// cold is the cold time of the plain servers after a restart.
 	cold platfk.ColdConfig
 }
@@ -67,6 +70,7 @@
 type testNode struct {
 	settings site.Settings
 	gate     *platfk.Endpoint
+	links    *serverLinks
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -122,6 +126,7 @@
 	for _, node := range rig.nodes {
 		<-node.done
 		node.gate.Close()
+		node.links.close()
 	}
 	for _, srv := range append(rig.engines, rig.plainServers...) {
 		srv.Close()
@@ -136,10 +141,10 @@
 func (rig *testCluster) startNodeIn(zone string) *testNode {
 	rig.t.Helper()
 	ip := fmt.Sprintf("%s.%d", rig.subnet, len(rig.nodes)+1)
-	node := &testNode{gate: rig.store.NewEndpoint(), done: make(chan error, 1)}
+	node := &testNode{gate: rig.store.NewEndpoint(), links: &serverLinks{proxies: map[string]*soak.Proxy{}}, done: make(chan error, 1)}
 	node.settings = site.Settings{
 		Node: fmt.Sprintf("n%d", len(rig.nodes)+1), IP: ip, Zone: zone, CallerAddr: net.JoinHostPort(ip, "18081"), ReadinessAddr: net.JoinHostPort(ip, "18082"),
-		StoreAddr: node.gate.Addr(), PeerPort: 18083, StopGrace: stopGrace,
+		StoreAddr: node.gate.Addr(), PeerPort: 18083, RelayPort: 18084, StopGrace: stopGrace,
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 2,
 	}
 	node.settings.MemoryBytes = rig.memoryBytes
@@ -149,7 +154,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	node.stop = cancel
 	rig.nodes = append(rig.nodes, node)
-	daemon := entry.New(entry.Options{Log: logOutput, DrainDelay: drainDelay, MetricsPort: rig.metricsPort}, node.settings)
+	opts := entry.Options{Log: logOutput, DrainDelay: drainDelay, MetricsPort: rig.metricsPort}
+	if rig.cuttable {
+		opts.Dial = node.links.dial
+	}
+	daemon := entry.New(opts, node.settings)
 	go func() { node.done <- daemon.Run(ctx) }()
 	return node
 }
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -46,8 +46,9 @@
 	monitor   *callMonitor
 	log       *logrus.Logger
 	metrics   *nodeMetrics
-	server    *fasthttp.Server
-	active    *activeConns
+	// server serves callers, relayServer peers that relay requests of their callers.
+	server, relayServer *fasthttp.Server
+	active              *activeConns
 	// quota limits the bytes that are held for callers and servers.
 	quota *quota.Quota
 	// draining makes the node not ready and closes each connection after its
@@ -61,8 +62,15 @@
 func newFrontend(state *sharedState, fwd *forwarder, monitor *callMonitor, log *logrus.Logger, meter *nodeMetrics, qta *quota.Quota) *frontend {
 	front := &frontend{state: state, forwarder: fwd, monitor: monitor, log: log, metrics: meter, active: newActiveConns(qta), quota: qta}
 	meter.observeQuota(qta)
-	front.server = &fasthttp.Server{
-		Handler:                      front.handle,
+	front.server = front.newServer(func(reqCtx *fasthttp.RequestCtx) { front.handle(reqCtx, false) })
+	front.relayServer = front.newServer(func(reqCtx *fasthttp.RequestCtx) { front.handle(reqCtx, true) })
+	return front
+}
+
+// newServer returns an HTTP server for callers or for peers that relay their requests.
+func (front *frontend) newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      handler,
 		ReadBufferSize:               maxHeaderSize,
 		MaxRequestBodySize:           maxBodySize,
 		StreamRequestBody:            true,
@@ -70,10 +78,9 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       connErrorCounter{count: meter.callerConnErrors.Inc},
+		Logger:                       connErrorCounter{count: front.metrics.callerConnErrors.Inc},
 		ConnState:                    front.active.setState,
 	}
-	return front
 }
 
 // readinessServer returns the server for the load balancer's readiness checks.
@@ -89,19 +96,21 @@
 	return &fasthttp.Server{Handler: mux.Handler, NoDefaultServerHeader: true, Logger: connErrorCounter{count: front.metrics.callerConnErrors.Inc}, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 }
 
-// handle serves one request.
-func (front *frontend) handle(reqCtx *fasthttp.RequestCtx) {
+// handle serves one request. relayed is set if a peer relays it.
+func (front *frontend) handle(reqCtx *fasthttp.RequestCtx, relayed bool) {
 	front.requestCount.Add(1)
 	front.closeIfDraining(reqCtx)
 	var call *call
 	defer recoverPanic(front.log, front.metrics, "request", func() { front.abandon(reqCtx, call) })
-	call, parts, err := front.newCall(reqCtx)
+	call, parts, err := front.newCall(reqCtx, relayed)
 	if err != nil {
 		front.reject(reqCtx, call, err)
 		front.dropUnreadBody(reqCtx)
 		return
 	}
-	err = front.checkShare(call)
+	if !call.viaPeer {
+		err = front.checkShare(call)
+	}
 	if err == nil {
 		err = front.readBody(reqCtx, call)
 	}
@@ -145,10 +154,10 @@
 
 // newCall validates the header of a request and returns its call and the parts of its
 // prompt. The call is never nil. The code of the error is the reason for the rejection.
-func (front *frontend) newCall(reqCtx *fasthttp.RequestCtx) (*call, []core.PromptPart, error) {
+func (front *frontend) newCall(reqCtx *fasthttp.RequestCtx, relayed bool) (*call, []core.PromptPart, error) {
 	now := time.Now()
 	hdr := &reqCtx.Request.Header
-	call := &call{id: string(hdr.Peek(platform.HeaderAttemptID)), startedAt: now, conn: reqCtx.Conn()}
+	call := &call{id: string(hdr.Peek(platform.HeaderAttemptID)), startedAt: now, conn: reqCtx.Conn(), relayed: relayed, apiKey: string(hdr.Peek(platform.HeaderAPIKey))}
 	table := front.state.table.Load()
 	if table == nil {
 		return call, nil, core.Errorf(core.CodeNotReady, "no configuration received yet")
@@ -156,25 +165,16 @@
 	if stop := front.stop.Load(); stop != nil && stop.Phase(now, 1) != drain.Accepting {
 		return call, nil, core.Errorf(core.CodeDraining, "this entry VM is stopping")
 	}
-	path := string(hdr.RequestURI())
-	if idx := strings.IndexByte(path, '?'); idx >= 0 {
-		path = path[:idx]
-	}
-	call.table, call.host, call.path = table, string(hdr.Host()), path
-	call.route = table.Route(call.host, path)
-	if call.route == nil {
-		return call, nil, core.Errorf(core.CodeNoService, "no route of host %q matches path %q", call.host, path)
-	}
-	if !call.route.Public && !table.AuthDisabled() {
-		org := table.Org(string(hdr.Peek(platform.HeaderAPIKey)))
-		if org == nil {
-			return call, nil, core.Errorf(core.CodeUnauthorized, "the API key belongs to no organisation")
+	if relayed {
+		err := checkRelayVersion(hdr, table)
+		if err != nil {
+			return call, nil, err
 		}
-		call.org = org.Name
+		call.possibleRuns.Store(relayRuns(hdr))
 	}
-	call.service = table.Service(pickService(call.route))
-	if call.service == nil {
-		return call, nil, core.Errorf(core.CodeNotReady, "route %s has no configured service", call.route.Name)
+	err := call.findRoute(hdr, table)
+	if err != nil {
+		return call, nil, err
 	}
 	call.setUrgency()
 	call.model = string(hdr.Peek(platform.HeaderModel))
@@ -182,18 +182,51 @@
 	parts := platform.DecodePromptParts(string(hdr.Peek(platform.HeaderPromptParts)))
 	call.lastEventID = string(hdr.Peek(platform.HeaderLastEventID))
 	call.deadline = now.Add(requestTimeout(call.route, hdr.Peek(platform.HeaderDeadline)))
-	err := front.checkStop(call, now)
+	err = front.checkStop(call, now)
 	if err != nil {
 		return call, nil, err
 	}
 	ctx, cancel := context.WithDeadlineCause(context.Background(), call.deadline, errDeadlinePassed)
 	call.ctx, call.cancel = withCancelCause(ctx, cancel)
 	call.request = newUpstreamRequest(&reqCtx.Request, call.org)
+	if relayed {
+		call.request.Header.Del(headerRelayVersion)
+		call.request.Header.Del(headerRelayRuns)
+	}
 	call.setUrgencyHeader()
-	front.forwarder.loads.countRequest(call.service.Name, now)
+	// A peer that relays the request counts it.
+	_, call.viaPeer = front.forwarder.peerFor(call)
+	if !call.viaPeer {
+		front.forwarder.loads.countRequest(call.service.Name, now)
+	}
 	return call, parts, nil
 }
 
+// findRoute sets the route, the organisation and the service of a call.
+func (call *call) findRoute(hdr *fasthttp.RequestHeader, table *site.Table) error {
+	path := string(hdr.RequestURI())
+	if idx := strings.IndexByte(path, '?'); idx >= 0 {
+		path = path[:idx]
+	}
+	call.table, call.host, call.path = table, string(hdr.Host()), path
+	call.route = table.Route(call.host, path)
+	if call.route == nil {
+		return core.Errorf(core.CodeNoService, "no route of host %q matches path %q", call.host, path)
+	}
+	if !call.route.Public && !table.AuthDisabled() {
+		org := table.Org(call.apiKey)
+		if org == nil {
+			return core.Errorf(core.CodeUnauthorized, "the API key belongs to no organisation")
+		}
+		call.org = org.Name
+	}
+	call.service = table.Service(pickService(call.route))
+	if call.service == nil {
+		return core.Errorf(core.CodeNotReady, "route %s has no configured service", call.route.Name)
+	}
+	return nil
+}
+
 // parseTokenCounts returns two comma-separated token counts, the prompt and the
 // maximum output. A count that is missing or invalid is zero.
 func parseTokenCounts(val string) (prompt, maxOutput int) {
@@ -276,16 +309,13 @@
 			return
 		}
 		attempt.close()
-		if call.ctx.Err() == nil {
-			front.forwarder.guard.interrupted(call, attempt.server, err, true)
-			front.forwarder.recordFailure(call, attempt.server, err)
-		}
+		front.forwarder.recordBroken(call, attempt.target, err)
 		if !front.forwarder.mayRepeat(call) {
 			call.possibleRuns.Add(1)
 			front.respondError(reqCtx, call, err)
 			return
 		}
-		err = front.forwarder.checkRetry(call, attempt.server, outcomeUnknown, err)
+		err = front.forwarder.checkRetry(call, attempt.target, outcomeUnknown, err)
 		if err == nil {
 			attempt, err = front.forwarder.sendWithRetries(call)
 		}
@@ -419,6 +449,9 @@
 		status = fasthttp.StatusUnauthorized
 	default:
 		reqCtx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfterOtherNode.Seconds(), 'f', 2, 64))
+		if call.relayed {
+			reqCtx.Response.Header.Set(headerRelayElsewhere, "1")
+		}
 	}
 	reqCtx.SetStatusCode(status)
 	front.echoRequestID(reqCtx, call)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -96,6 +96,10 @@
 	// Interval is the longest time until the next heartbeat to the same
 	// receiver.
 	Interval time.Duration `cbor:"14,keyasint"`
+	// RelayAddr is the node's address for requests that peers relay, and LostServices the
+	// services whose servers the node can't reach.
+	RelayAddr    string   `cbor:"28,keyasint,omitempty"`
+	LostServices []string `cbor:"29,keyasint,omitempty"`
 	// ReadsStore is set if the node reads the store itself.
 	ReadsStore bool `cbor:"11,keyasint"`
 }
@@ -265,6 +269,8 @@
 		hb.Suspects = balancer.StalledServers(streamSilenceTimeout, now)
 		hb.Learned = peers.loads.learned.Report()
 	})
+	hb.RelayAddr, hb.LostServices = peers.relayAddr, *peers.reach.lostServices.Load()
+	hb.Suspects = peers.withinReach(hb.Suspects)
 	hb.Evacuations = peers.evacuation.currentClaims()
 	hb.Leaving = peers.registry.leavingRuns()
 	hb.Recovered = peers.loads.cold.reports(now)
@@ -283,6 +289,19 @@
 	return hb
 }
 
+// withinReach returns the servers whose service is within reach. That others send nothing
+// says nothing about them.
+func (peers *peers) withinReach(ids []string) []string {
+	if len(*peers.reach.lostServices.Load()) == 0 {
+		return ids
+	}
+	view := peers.state.view.Load()
+	return slices.DeleteFunc(ids, func(id string) bool {
+		srv := view.Server(id)
+		return srv != nil && peers.reach.lost(srv.Service)
+	})
+}
+
 // peerAddrs returns the addresses of the live peers and of the other nodes with
 // a record in the store, by node.
 func (peers *peers) peerAddrs(now time.Time) map[string]string {
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -26,6 +26,10 @@
 	// serverPauses counts the pauses that servers asked for, serversLeaving the servers
 	// that said in an answer that they leave.
 	serverPauses, serversLeaving *metrics.Counter
+	// reachProbes counts the connections that probe whether servers are within reach,
+	// lostServices are the services whose servers are not.
+	reachProbes  *metrics.Counter
+	lostServices *metrics.Gauge
 	// skippedResponses counts the responses to other requests on kept connections.
 	skippedResponses *metrics.Counter
 	// coldHeldBack counts the requests for which no server was found because of cold
@@ -55,6 +59,8 @@
 		logDropped:       set.NewCounter("kumquathinge_log_lines_dropped_total"),
 		callerConnErrors: set.NewCounter("kumquathinge_caller_connection_errors_total"),
 		serverPauses:     set.NewCounter("kumquathinge_server_pauses_total"),
+		reachProbes:      set.NewCounter("kumquathinge_reach_probes_total"),
+		lostServices:     set.NewGauge("kumquathinge_lost_services", nil),
 		skippedResponses: set.NewCounter("kumquathinge_skipped_responses_total"),
 		serversLeaving:   set.NewCounter("kumquathinge_servers_leaving_total"),
 		coldHeldBack:     set.NewCounter("kumquathinge_cold_held_back_total"),
@@ -144,6 +150,11 @@
 	meter.attempts.with(attemptLabels{service: service, outcome: out}).Inc()
 }
 
+// recordPeerAttempt counts an attempt at a peer.
+func (meter *nodeMetrics) recordPeerAttempt(out outcome) {
+	meter.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_peer_attempts_total{outcome=%q}", out)).Inc()
+}
+
 // recordOrder counts an order by kind and result.
 func (meter *nodeMetrics) recordOrder(kind, result string) {
 	meter.set.GetOrCreateCounter(fmt.Sprintf("kumquathinge_orders_total{kind=%q,result=%q}", kind, result)).Inc()
--- a/entry/node.go
+++ b/entry/node.go
@@ -72,6 +72,8 @@
 	SettingsPath string
 	// Log is the log output, standard output if nil.
 	Log io.Writer
+	// Dial opens connections to backend servers. Nil selects a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DrainDelay is how long a stopping node accepts requests after it turns
 	// not ready. Zero selects a default that suits the load balancer.
 	DrainDelay time.Duration
@@ -113,14 +115,17 @@
 	health := newStoreHealth(now)
 	store := platform.NewStore(settings.StoreAddr)
 	node.state = newSharedState()
-	node.pools = wire.NewPools(wire.Config{DialTimeout: dialTimeout, IdleTimeout: serverIdleTimeout, MaxIdle: maxIdleConns, AckTimeout: ackTimeout, MaxBody: maxSkippedResponse})
+	node.pools = wire.NewPools(connConfig(opts.Dial))
 	loads := node.newLoads(settings, now)
-	fwd := &forwarder{state: node.state, pools: node.pools, log: node.log, metrics: node.metrics, loads: loads, guard: newCrashGuard(self, loads, node.log, node.metrics)}
-	qta := quota.New(settings.MemoryBytes / memoryDivisor)
-	fwd.quota = qta
+	fwd := &forwarder{
+		state: node.state, pools: node.pools, peerPools: wire.NewPools(connConfig(nil)), log: node.log, metrics: node.metrics, loads: loads,
+		guard: newCrashGuard(self, loads, node.log, node.metrics), quota: quota.New(settings.MemoryBytes / memoryDivisor),
+	}
 	node.monitor = newCallMonitor(fwd, node.log)
-	node.frontend = newFrontend(node.state, fwd, node.monitor, node.log, node.metrics, qta)
+	fwd.reach = newReachMonitor(node.monitor, node.pools, node.log, node.metrics)
+	node.frontend = newFrontend(node.state, fwd, node.monitor, node.log, node.metrics, fwd.quota)
 	node.peers = newPeers(node.state, loads, fwd.guard, health, node.log, node.metrics, self, node.frontend.draining.Load)
+	node.peers.reach, fwd.peers, node.peers.relayAddr = fwd.reach, node.peers, relayAddr(settings)
 	node.peers.arrivals = &arrivalRate{count: node.frontend.requestCount.Load}
 	node.registry = newServerRegistry(node.state, health, node.log, node.metrics)
 	fwd.noteLeaving = func(run site.ServerRun, request string) {
@@ -154,6 +159,21 @@
 	return node
 }
 
+// connConfig returns the limits of connections to backend servers and peers. dial opens
+// connections, nil for a net.Dialer.
+func connConfig(dial func(ctx context.Context, network, addr string) (net.Conn, error)) wire.Config {
+	return wire.Config{Dial: dial, DialTimeout: dialTimeout, IdleTimeout: serverIdleTimeout, MaxIdle: maxIdleConns, AckTimeout: ackTimeout, MaxBody: maxSkippedResponse}
+}
+
+// relayAddr returns the node's address for requests that peers relay, empty if there is no
+// port for them.
+func relayAddr(settings site.Settings) string {
+	if settings.RelayPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(settings.IP, strconv.Itoa(settings.RelayPort))
+}
+
 // newLoads returns the tracker of the loads of servers, which limits the requests to cold
 // ones.
 func (node *Node) newLoads(settings site.Settings, now time.Time) *loadTracker {
@@ -212,10 +232,15 @@
 	add(node.peers.receive)
 	add(node.orderer.run)
 	add(node.monitor.run)
+	add(node.frontend.forwarder.reach.run)
 	add(node.pruneConns)
 	add(node.watchSettings)
 	node.addServer(&grp, node.frontend.server, sock.Listener{Listener: callers, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
 	node.addServer(&grp, node.frontend.readinessServer(), ready)
+	err = node.addRelay(ctx, &grp)
+	if err != nil {
+		return err
+	}
 	err = node.addMirror(&grp)
 	if err != nil {
 		return err
@@ -237,6 +262,19 @@
 	grp.Add(func() error { return srv.Serve(lis) }, func(error) { _ = lis.Close() })
 }
 
+// addRelay adds the server for requests that peers relay, if there is a port for it.
+func (node *Node) addRelay(ctx context.Context, grp *run.Group) error {
+	if node.peers.relayAddr == "" {
+		return nil
+	}
+	lis, err := listen(ctx, node.peers.relayAddr)
+	if err != nil {
+		return eris.Wrap(err, "listening for relayed requests")
+	}
+	node.addServer(grp, node.frontend.relayServer, sock.Listener{Listener: lis, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
+	return nil
+}
+
 // addMirror adds the server from which peers fetch records of the topics.
 func (node *Node) addMirror(grp *run.Group) error {
 	lis, err := net.Listen("tcp", node.peers.self.Addr)
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -265,6 +265,9 @@
 // names it as the orderer: another node may have taken over unnoticed. It is
 // empty if that is ruled out.
 func (ord *orderer) blockReason(cluster *clusterState, now time.Time) string {
+	if ord.cutOff(now) {
+		return "this VM can't reach the model servers, and peers can"
+	}
 	if now.Sub(ord.resumedAt) < resumeConfirmTimeout && ord.health.termConfirmedAt().Before(ord.resumedAt) {
 		return "this VM was suspended and the store has not confirmed the term since"
 	}
@@ -288,10 +291,21 @@
 	return ""
 }
 
+// cutOff reports whether this node can't reach the model servers of a service that a peer
+// reaches.
+func (ord *orderer) cutOff(now time.Time) bool {
+	lost := *ord.peers.reach.lostServices.Load()
+	table := ord.state.table.Load()
+	return slices.ContainsFunc(lost, func(name string) bool {
+		svc := table.Service(name)
+		return svc != nil && svc.Engine != nil && ord.peers.reachesServers(name, now)
+	})
+}
+
 // tryClaim claims the role of the orderer if no node is active in it and it is
 // this node's turn.
 func (ord *orderer) tryClaim(ctx context.Context, cluster *clusterState, now time.Time) {
-	if ord.stopping() || !ord.peers.readsStore(now) || ord.health.unavailableFor(now) > 0 || ord.state.table.Load() == nil || ord.ordererAvailable(cluster, now) {
+	if ord.stopping() || ord.cutOff(now) || !ord.peers.readsStore(now) || ord.health.unavailableFor(now) > 0 || ord.state.table.Load() == nil || ord.ordererAvailable(cluster, now) {
 		ord.candidateSince = time.Time{}
 		return
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -82,6 +82,10 @@
 	observedStates func() []observedState
 	evacuation     *evacuationApplier
 	registry       *serverRegistry
+	reach          *reachMonitor
+	// relayAddr is this node's address for requests that peers relay, empty if there is
+	// none.
+	relayAddr string
 	// followers are the followers of the store's topics, in the order of the
 	// heartbeats' NextOffsets. The first one is that of the operators' topic.
 	followers []*follower
@@ -316,7 +320,8 @@
 		if hb.Node == cluster.orderer.Node && hb.Incarnation == cluster.orderer.Incarnation && hb.IsOrderer {
 			out.orderer = hb.storeReachable()
 		}
-		if hb.Zone == peers.self.Zone && hb.Node <= peers.self.Node && !hb.Stopping {
+		// A node that has lost the servers can't become the orderer in place of this one.
+		if hb.Zone == peers.self.Zone && hb.Node <= peers.self.Node && !hb.Stopping && len(hb.LostServices) == 0 {
 			out.earlier = out.earlier || hb.storeReachable()
 			out.rank++
 		}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -114,11 +114,11 @@
 func (relay *streamRelay) fill() error {
 	if len(relay.buffer)-relay.completeLen > maxEventSize {
 		relay.attempt.body.Abort()
-		return relay.resume(core.Errorf(core.CodeCutAnswer, "event of more than %d bytes from %s", maxEventSize, relay.attempt.server.ID))
+		return relay.resume(core.Errorf(core.CodeCutAnswer, "event of more than %d bytes from %v", maxEventSize, relay.attempt.target))
 	}
 	if len(relay.buffer) == cap(relay.buffer) && !relay.holdMore() {
 		relay.attempt.body.Abort()
-		return relay.resume(core.Errorf(core.CodeCutAnswer, "an event of more than %d bytes from %s, and no memory left", cap(relay.buffer), relay.attempt.server.ID))
+		return relay.resume(core.Errorf(core.CodeCutAnswer, "an event of more than %d bytes from %v, and no memory left", cap(relay.buffer), relay.attempt.target))
 	}
 	if len(relay.buffer) == cap(relay.buffer) {
 		relay.buffer = append(relay.buffer, make([]byte, cap(relay.buffer))...)[:len(relay.buffer)]
@@ -132,7 +132,7 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, io.EOF) && relay.brokenOff():
-		return relay.resume(core.Errorf(core.CodeCutAnswer, "stream from %s ended inside an event", relay.attempt.server.ID))
+		return relay.resume(core.Errorf(core.CodeCutAnswer, "stream from %v ended inside an event", relay.attempt.target))
 	case errors.Is(err, io.EOF):
 		relay.eof = true
 		relay.completeLen = len(relay.buffer)
@@ -251,16 +251,13 @@
 func (relay *streamRelay) resume(cause error) error {
 	call := relay.call
 	relay.buffer = relay.buffer[:relay.completeLen]
-	srv := relay.attempt.server
+	before := relay.attempt.target
 	relay.attempt.close()
-	if call.ctx.Err() == nil {
-		relay.forwarder.guard.interrupted(call, srv, cause, true)
-		relay.forwarder.recordFailure(call, srv, cause)
-	}
+	relay.forwarder.recordBroken(call, before, cause)
 	if !relay.forwarder.mayRepeat(call) {
 		return cause
 	}
-	err := relay.forwarder.checkRetry(call, srv, outcomeUnknown, cause)
+	err := relay.forwarder.checkRetry(call, before, outcomeUnknown, cause)
 	if err != nil {
 		return err
 	}
@@ -271,11 +268,11 @@
 	relay.attempt = attempt
 	if attempt.body.Status() != 200 {
 		attempt.close()
-		return core.Errorf(core.CodeCutAnswer, "resuming the stream: status %d from %s", attempt.body.Status(), attempt.server.ID)
+		return core.Errorf(core.CodeCutAnswer, "resuming the stream: status %d from %v", attempt.body.Status(), attempt.target)
 	}
 	relay.skipUntilID = call.lastEventID
 	relay.forwarder.log.WithFields(logrus.Fields{
-		"event": "stream_resumed", "request": call.id, "server": attempt.server.ID, "before": srv.ID, "after_event": call.lastEventID,
+		"event": "stream_resumed", "request": call.id, "server": attempt.target, "before": before, "after_event": call.lastEventID,
 	}).Info("stream resumed on another server")
 	return nil
 }
--- a/entry/resumewait.go
+++ b/entry/resumewait.go
@@ -18,8 +18,8 @@
 	resumeWaitInterval = 20 * time.Millisecond
 )
 
-// awaitResume waits until a server has a place for a call whose stream has begun, and
-// reports whether there is one. A head that the call was sent to before counts again if its
+// awaitResume waits until a server has a place for a call whose stream has begun, or a peer
+// can take it, and reports whether there is one. A head that the call was sent to before counts again if its
 // group was formed anew since.
 func (fwd *forwarder) awaitResume(call *call, cause error) bool {
 	if call.response.Load() != responseBegun || call.possibleRuns.Load() == 0 || call.resumeWait >= maxResumeWait {
@@ -29,7 +29,7 @@
 	for !found && call.ctx.Err() == nil && call.resumeWait+time.Since(begin) < maxResumeWait {
 		sleep(call.ctx, resumeWaitInterval)
 		fwd.forgetReformed(call)
-		found = fwd.hasPlace(call, time.Now())
+		found = fwd.hasPeer(call) || fwd.hasPlace(call, time.Now())
 	}
 	call.resumeWait += time.Since(begin)
 	fwd.log.WithFields(logrus.Fields{
--- a/entry/wholerelay.go
+++ b/entry/wholerelay.go
@@ -92,8 +92,8 @@
 		return
 	}
 	relay.ended = true
-	if err != nil && relay.call.ctx.Err() == nil && core.CodeOf(err) != core.CodeCallerGone {
-		relay.front.forwarder.recordFailure(relay.call, relay.attempt.server, err)
+	if srv := relay.attempt.server; srv != nil && err != nil && relay.call.ctx.Err() == nil && core.CodeOf(err) != core.CodeCallerGone {
+		relay.front.forwarder.recordFailure(relay.call, srv, err)
 	}
 	status := relay.attempt.body.Status()
 	relay.attempt.close()
