Reject answers with status 000 and others that are no status

Cause: the status line is parsed by a codec that has a default for a missing status, and nothing checked its range. io/wire now looks at the status line before the codec does: interim responses are skipped, and any other status than 200 to 599 is no answer: the outcome is unknown, and the connection is closed. Both daemons and relayed requests use this client.

--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -102,7 +102,10 @@
 // to earlier requests.
 func (pool *Pool) readHeader(body *Body, ex Exchange) error {
 	for {
-		err := body.resp.ReadLimitBody(body.conn.reader, pool.cfg.MaxBody)
+		err := skipInterim(body.conn.reader)
+		if err == nil {
+			err = body.resp.ReadLimitBody(body.conn.reader, pool.cfg.MaxBody)
+		}
 		if err != nil || ex.EchoHeader == "" {
 			return err
 		}
--- /dev/null
+++ b/io/wire/status.go
@@ -0,0 +1,73 @@
+package wire
+
+import (
+	"bufio"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// maxInterim is the number of interim responses before a final one.
+const maxInterim = 8
+
+// Bounds of the status codes of final responses.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// skipInterim reads the interim responses before a final one. It returns an error if the
+// next response has no valid status code: the codec takes status 000 for 200.
+func skipInterim(reader *bufio.Reader) error {
+	for range maxInterim {
+		status, err := peekStatus(reader)
+		switch {
+		case err != nil:
+			return err
+		case status >= minFinalStatus && status <= maxFinalStatus:
+			return nil
+		case status < fasthttp.StatusContinue || status >= minFinalStatus || status == fasthttp.StatusSwitchingProtocols:
+			return eris.Errorf("response with the invalid status code %03d", status)
+		}
+		var interim fasthttp.ResponseHeader
+		err = interim.Read(reader)
+		if err != nil {
+			return err
+		}
+	}
+	return eris.New("too many interim responses")
+}
+
+// peekStatus returns the status code of the next response without reading it. Line breaks
+// before the response are dropped.
+func peekStatus(reader *bufio.Reader) (int, error) {
+	const begin = "HTTP/1."
+	for {
+		next, err := reader.Peek(1)
+		if err != nil {
+			return 0, err
+		}
+		if next[0] != '\r' && next[0] != '\n' {
+			break
+		}
+		_, err = reader.Discard(1)
+		if err != nil {
+			return 0, err
+		}
+	}
+	line, err := reader.Peek(len("HTTP/1.1 200"))
+	if err != nil {
+		return 0, err
+	}
+	if string(line[:len(begin)]) != begin || line[len(begin)+1] != ' ' {
+		return 0, eris.Errorf("response with the invalid status line %q", line)
+	}
+	status := 0
+	for _, digit := range line[len(begin)+2:] {
+		if digit < '0' || digit > '9' {
+			return 0, eris.Errorf("response with the invalid status line %q", line)
+		}
+		status = 10*status + int(digit-'0')
+	}
+	return status, nil
+}
