Notice silent servers of a service while new requests keep coming

The time without data was that of the open request that had waited least, so that a node with a steady flow of requests to dead connections noticed its cut only when a dial timed out. It is now the time since any server of the service sent data, while a request has waited for as long.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -145,6 +145,7 @@
 	if srv == nil {
 		return
 	}
+	fwd.reach.recordData(call.service.Name, now)
 	fwd.loads.withLock(func(balancer *share.Balancer) {
 		balancer.RecordProgress(srv.ID, now)
 		balancer.RecordContact(srv.Zone, now)
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -34,12 +34,17 @@
 	// lostServices holds the services whose servers are out of reach. It does not change
 	// once it is stored.
 	lostServices atomic.Pointer[[]string]
-	mtx          sync.Mutex
-	tracker      *reach.Tracker
+	// dataAt maps services to when a server last sent data, a *atomic.Int64 of nanoseconds
+	// since startedAt.
+	dataAt    sync.Map
+	startedAt time.Time
+
+	mtx     sync.Mutex
+	tracker *reach.Tracker
 }
 
 func newReachMonitor(monitor *callMonitor, pools *wire.Pools, log *logrus.Logger, meter *nodeMetrics) *reachMonitor {
-	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker()}
+	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now()}
 	mon.lostServices.Store(&[]string{})
 	return mon
 }
@@ -60,6 +65,24 @@
 	mon.tracker.RecordConnected(service)
 }
 
+// recordData records that a server of the service sent data.
+func (mon *reachMonitor) recordData(service string, now time.Time) {
+	at, ok := mon.dataAt.Load(service)
+	if !ok {
+		at, _ = mon.dataAt.LoadOrStore(service, &atomic.Int64{})
+	}
+	at.(*atomic.Int64).Store(int64(now.Sub(mon.startedAt)))
+}
+
+// sinceData returns the time since a server of the service last sent data.
+func (mon *reachMonitor) sinceData(service string, now time.Time) time.Duration {
+	at, ok := mon.dataAt.Load(service)
+	if !ok {
+		return now.Sub(mon.startedAt)
+	}
+	return now.Sub(mon.startedAt) - time.Duration(at.(*atomic.Int64).Load())
+}
+
 // recordFailure records that a connection to a server could not be opened or broke.
 func (mon *reachMonitor) recordFailure(service string) {
 	mon.mtx.Lock()
@@ -84,20 +107,18 @@
 	return nil
 }
 
-// silentServices returns the services all of whose servers are silent for the open calls.
+// silentServices returns the services with open calls none of whose servers sends data.
 func (mon *reachMonitor) silentServices(now time.Time) []string {
-	shortest := map[string]time.Duration{}
+	silent := map[string]bool{}
 	for _, call := range mon.monitor.calls() {
-		if call.cancelAttempt.Load() == nil || call.server.Load() == nil {
+		name := call.service.Name
+		if silent[name] || call.cancelAttempt.Load() == nil || call.server.Load() == nil {
 			continue
 		}
-		silent := mon.monitor.silence(call, now)
-		if known, ok := shortest[call.service.Name]; !ok || silent < known {
-			shortest[call.service.Name] = silent
-		}
+		silent[name] = mon.sinceData(name, now) > serviceSilenceTimeout && mon.monitor.silence(call, now) > serviceSilenceTimeout
 	}
-	maps.DeleteFunc(shortest, func(_ string, silent time.Duration) bool { return silent <= serviceSilenceTimeout })
-	return slices.Collect(maps.Keys(shortest))
+	maps.DeleteFunc(silent, func(_ string, isSilent bool) bool { return !isSilent })
+	return slices.Collect(maps.Keys(silent))
 }
 
 // dueServices begins the rounds of probes that are due, and returns their services.
