--- a/entry/callmonitor.go
+++ b/entry/callmonitor.go
@@ -159,7 +159,8 @@
 // which other servers ended.
 func (monitor *callMonitor) checkParts(call *call, now time.Time) {
 	cancel := call.cancelAttempt.Load()
-	if call.attemptEvents.Load() > 0 || call.onTrial.Load() || call.service.Engine == nil {
+	// A peer checks the requests that are relayed to it.
+	if call.server.Load() == nil || call.attemptEvents.Load() > 0 || call.onTrial.Load() || call.service.Engine == nil {
 		return
 	}
 	if cause := monitor.forwarder.guard.abortCause(call, now); cause != nil {
--- a/entry/node.go
+++ b/entry/node.go
@@ -310,7 +310,7 @@
 	}, func(error) { _ = srv.Close() })
 }
 
-// pruneConns closes the connections to servers that no longer exist.
+// pruneConns closes the connections to servers and peers that no longer exist.
 func (node *Node) pruneConns(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, settingsPollInterval)
@@ -319,6 +319,9 @@
 			addrs[srv.Addr] = true
 		}
 		node.pools.Retain(func(addr string) bool { return addrs[addr] })
+		relays := map[string]bool{}
+		node.peers.eachLive(time.Now(), func(hb *heartbeat) { relays[hb.RelayAddr] = true })
+		node.frontend.forwarder.peerPools.Retain(func(addr string) bool { return relays[addr] })
 	}
 	return nil
 }
--- a/entry/urgency.go
+++ b/entry/urgency.go
@@ -147,7 +147,7 @@
 // recordUrgency records a call in the shares of its model, where levels are in use.
 func (loads *loadTracker) recordUrgency(call *call, now time.Time, record func(*admit.Shares, int, time.Duration, time.Time)) {
 	model := levelledModel(call)
-	if model == nil {
+	if model == nil || call.viaPeer {
 		return
 	}
 	loads.mtx.Lock()
