Reject responses whose header goes on with that of another one

On a kept connection a header that holds a status line, in its reason or in a name or value of a field, is no answer: the outcome is unknown.

--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -106,6 +106,9 @@
 		if err == nil {
 			err = body.resp.ReadLimitBody(body.conn.reader, pool.cfg.MaxBody)
 		}
+		if err == nil && body.conn.reused && joined(&body.resp.Header) {
+			err = eris.New("the header of a response holds the begin of another one")
+		}
 		if err != nil || ex.EchoHeader == "" {
 			return err
 		}
--- a/io/wire/status.go
+++ b/io/wire/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"regexp"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -16,6 +17,23 @@
 	maxFinalStatus = 599
 )
 
+// statusLine matches the begin of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// joined reports whether a header goes on with that of another response: the server sent
+// only the begin of the first one.
+func joined(hdr *fasthttp.ResponseHeader) bool {
+	if statusLine.Match(hdr.StatusMessage()) {
+		return true
+	}
+	for name, val := range hdr.All() {
+		if statusLine.Match(name) || statusLine.Match(val) {
+			return true
+		}
+	}
+	return false
+}
+
 // skipInterim reads the interim responses before a final one. It returns an error if the
 // next response has no valid status code: the codec takes status 000 for 200.
 func skipInterim(reader *bufio.Reader) error {
