Send orders and cancellations to model engines on connections of their own

Probes still share connections: a second response to a probe would be taken for that to the next one, and its bytes end the connection then.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -165,7 +165,8 @@
 func (eng *Engine) post(ctx context.Context, path string, msg any) (wire.Response, error) {
 	req := newRequest(http.MethodPost, path, msg)
 	defer fasthttp.ReleaseRequest(req)
-	resp, _, err := eng.pool.Do(ctx, wire.Exchange{Req: req})
+	// The responses do not name their request.
+	resp, _, err := eng.pool.Do(ctx, wire.Exchange{Req: req, Exclusive: true})
 	if err != nil {
 		eng.pool.ResetOnTimeout(err)
 	}
