Count failures of servers only once a probe shows that this node reaches others

Evidence of crashes and failed probes of the orderer wait for a round of probes that begins after them, and are dropped if it finds the service lost. Such a round begins at once and ends when half of its connections are accepted. A service counts as lost after two rounds at random servers. Probes leave out evacuated zones, draining servers and those marked lost, and the published list is updated under the lock and when a service is removed.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -14,6 +14,20 @@
 	probeInterval = 250 * time.Millisecond
 	// quietInterval is the least time between two rounds that find servers within reach.
 	quietInterval = time.Second
+	// failedRounds is the number of rounds, one after the other, in which all probes fail
+	// before the servers count as out of reach. The rounds connect to other random servers.
+	failedRounds = 2
+)
+
+// Result is the result of a round of probes.
+type Result uint8
+
+// Results of a round: the servers are within reach, another round decides, or they are out
+// of reach.
+const (
+	Reached Result = iota
+	Undecided
+	Lost
 )
 
 // Tracker holds for each service whether its servers are within reach. It is not safe for
@@ -29,7 +43,11 @@
 	// probing is set during a round of probes, which last ended at probedAt.
 	probing  bool
 	probedAt time.Time
-	lost     bool
+	// urgent is set if the next round is due at once.
+	urgent bool
+	// failed is the number of rounds since the last one in which a probe succeeded.
+	failed int
+	lost   bool
 }
 
 // NewTracker returns a Tracker for which all servers are within reach.
@@ -53,9 +71,15 @@
 	}
 }
 
+// RequestProbes makes a round of probes of the service due at once.
+func (trk *Tracker) RequestProbes(name string, now time.Time) {
+	trk.RecordFailure(name, now)
+	trk.serviceOf(name).urgent = true
+}
+
 // RecordConnected records a response on a new connection to a server of the service.
 func (trk *Tracker) RecordConnected(name string) {
-	if svc := trk.services[name]; svc != nil && !svc.lost {
+	if svc := trk.services[name]; svc != nil && !svc.lost && !svc.urgent {
 		svc.suspectSince = time.Time{}
 	}
 }
@@ -70,32 +94,38 @@
 	if svc.lost {
 		wait = probeInterval
 	}
-	if now.Sub(svc.suspectSince) < probeDelay || !svc.probedAt.IsZero() && now.Sub(svc.probedAt) < wait {
+	if !svc.urgent && (now.Sub(svc.suspectSince) < probeDelay || !svc.probedAt.IsZero() && now.Sub(svc.probedAt) < wait) {
 		return false
 	}
-	svc.probing = true
+	svc.probing, svc.urgent = true, false
 	return true
 }
 
-// EndProbes records the result of a round: how many of the probed servers accepted a
-// connection. It reports whether the service was lost or found again.
-func (trk *Tracker) EndProbes(name string, accepted, probed int, now time.Time) (changed bool) {
+// EndProbes records how many of the probed servers of a round accepted a connection, and
+// returns the result.
+func (trk *Tracker) EndProbes(name string, accepted, probed int, now time.Time) Result {
 	svc := trk.serviceOf(name)
 	svc.probing, svc.probedAt = false, now
-	before := svc.lost
 	switch {
-	case probed == 0:
+	case probed == 0 || 2*accepted >= probed:
 		// Without servers there is nothing to reach.
-		svc.lost = false
-	case accepted == 0:
-		svc.lost = true
-	case 2*accepted >= probed:
-		svc.lost = false
+		svc.failed, svc.lost = 0, false
+	case accepted > 0:
+		svc.failed = 0
+	default:
+		svc.failed++
+		svc.lost = svc.lost || svc.failed >= failedRounds
 	}
-	if !svc.lost {
+	switch {
+	case svc.lost:
+		return Lost
+	case svc.failed > 0:
+		svc.urgent = true
+		return Undecided
+	case !svc.urgent:
 		svc.suspectSince = time.Time{}
 	}
-	return svc.lost != before
+	return Reached
 }
 
 // Lost reports whether the servers of the service are out of reach.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -280,10 +280,18 @@
 	if tgt.server == nil || call.ctx.Err() != nil {
 		return
 	}
-	fwd.guard.interrupted(call, tgt.server, cause, true)
+	fwd.recordInterrupted(call, tgt.server, cause, true)
 	fwd.recordFailure(call, tgt.server, cause)
 }
 
+// recordInterrupted records that a connection to a server ended under a call, once it is
+// clear that this node has not lost all servers.
+func (fwd *forwarder) recordInterrupted(call *call, srv *site.Server, cause error, begun bool) {
+	if record := fwd.guard.interrupted(call, srv, cause, begun); record != nil {
+		fwd.reach.confirm(call.service.Name, record)
+	}
+}
+
 // retryServerError reports whether a request is sent to another server after an
 // error response, and counts the attempt if so.
 func (fwd *forwarder) retryServerError(call *call, srv *site.Server) bool {
@@ -342,7 +350,7 @@
 		cancel(nil)
 		call.cancelAttempt.Store(nil)
 		fwd.endRequest(call, srv.ID, call.promptTokens)
-		fwd.guard.interrupted(call, srv, err, core.CodeOf(err) == core.CodeCutAnswer)
+		fwd.recordInterrupted(call, srv, err, core.CodeOf(err) == core.CodeCutAnswer)
 		fwd.learnNoAnswer(call, srv, time.Since(now), err)
 		return fwd.recordFailure(call, srv, err), nil, err
 	}
--- a/entry/crashguard.go
+++ b/entry/crashguard.go
@@ -69,22 +69,24 @@
 	return crash.Subject{Shared: parts, Own: core.PromptPart(fmt.Sprintf("request-%016x", digest.Sum64()))}
 }
 
-// interrupted records that the connection of a call to a server ended before
-// the first event, if the error shows that.
-func (guard *crashGuard) interrupted(call *call, srv *site.Server, err error, begun bool) {
+// interrupted returns the function that records that the connection of a call to a server
+// ended before the first event, nil if the error does not show that.
+func (guard *crashGuard) interrupted(call *call, srv *site.Server, err error, begun bool) func() {
 	code := core.CodeOf(err)
 	if call.abortedForPart() {
 		guard.withdrawn(call, srv, begun)
-		return
+		return nil
 	}
 	if call.ctx.Err() != nil || call.abortedBy.Load() != nil || call.attemptEvents.Load() > 0 || code != core.CodeCutAnswer && code != core.CodeUnknownOutcome {
-		return
+		return nil
+	}
+	at, subject := time.Now(), call.subject
+	return func() {
+		guard.mtx.Lock()
+		defer guard.mtx.Unlock()
+		guard.tracker.Interrupted(serverRun(srv), subject, begun, at)
+		guard.publishChanges(time.Now())
 	}
-	now := time.Now()
-	guard.mtx.Lock()
-	defer guard.mtx.Unlock()
-	guard.tracker.Interrupted(serverRun(srv), call.subject, begun, now)
-	guard.publishChanges(now)
 }
 
 // withdrawn records that this node took a call back from a server because of a
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -126,13 +126,20 @@
 		}
 	}
 	wg.Wait()
-	ord.callbacks <- func() {
+	record := func() {
 		for idx, srv := range srvs {
 			if srv != nil && !ord.state.excluded(srv) {
 				ord.recordProbe(srv, reports[idx], errs[idx], time.Now())
 			}
 		}
 	}
+	failed := slices.IndexFunc(errs, func(err error) bool { return err != nil })
+	if failed < 0 {
+		ord.callbacks <- record
+		return
+	}
+	// That all probes fail may be due to this node.
+	ord.peers.reach.confirm(srvs[failed].Service, func() { go func() { ord.callbacks <- record }() })
 }
 
 // probe requests the report of a server, up to tries times if it fails.
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquathinge/core/reach"
+	"kumquathinge/core/share"
 	"kumquathinge/core/site"
 	"kumquathinge/io/wire"
 )
@@ -39,12 +40,17 @@
 	dataAt    sync.Map
 	startedAt time.Time
 
+	// due wakes run.
+	due chan struct{}
+
 	mtx     sync.Mutex
 	tracker *reach.Tracker
+	// unconfirmed are the functions that wait for the next round of probes, by service.
+	unconfirmed map[string][]func()
 }
 
 func newReachMonitor(monitor *callMonitor, pools *wire.Pools, log *logrus.Logger, meter *nodeMetrics) *reachMonitor {
-	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now()}
+	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now(), due: make(chan struct{}, 1), unconfirmed: map[string][]func(){}}
 	mon.lostServices.Store(&[]string{})
 	return mon
 }
@@ -90,21 +96,41 @@
 	mon.tracker.RecordFailure(service, time.Now())
 }
 
+// confirm calls fn once a round of probes that begins from now on finds the servers of the
+// service within reach, and drops it if they are lost. It is for signs that a server failed,
+// which say nothing about the server if this node has lost all of them.
+func (mon *reachMonitor) confirm(service string, fn func()) {
+	mon.mtx.Lock()
+	mon.unconfirmed[service] = append(mon.unconfirmed[service], fn)
+	mon.tracker.RequestProbes(service, time.Now())
+	mon.mtx.Unlock()
+	select {
+	case mon.due <- struct{}{}:
+	default:
+	}
+}
+
 // run checks the reach of servers until ctx ends.
 func (mon *reachMonitor) run(ctx context.Context) error {
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	for ctx.Err() == nil {
+	ticker := time.NewTicker(reachCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-mon.due:
+		case <-ticker.C:
+		}
 		now := time.Now()
 		for _, service := range mon.silentServices(now) {
 			mon.recordFailure(service)
 		}
-		for _, service := range mon.dueServices(now) {
-			probes.Go(func() { mon.probe(ctx, service) })
+		for service, unconfirmed := range mon.beginRounds(now) {
+			probes.Go(func() { mon.probe(ctx, service, unconfirmed) })
 		}
-		sleep(ctx, reachCheckInterval)
 	}
-	return nil
 }
 
 // silentServices returns the services with open calls none of whose servers sends data.
@@ -115,14 +141,15 @@
 		if silent[name] || call.cancelAttempt.Load() == nil || call.server.Load() == nil {
 			continue
 		}
-		silent[name] = mon.sinceData(name, now) > serviceSilenceTimeout && mon.monitor.silence(call, now) > serviceSilenceTimeout
+		silent[name] = mon.sinceData(name, now) > serviceSilenceTimeout && mon.monitor.silence(call, now) > max(serviceSilenceTimeout, call.route.TargetLatency)
 	}
 	maps.DeleteFunc(silent, func(_ string, isSilent bool) bool { return !isSilent })
 	return slices.Collect(maps.Keys(silent))
 }
 
-// dueServices begins the rounds of probes that are due, and returns their services.
-func (mon *reachMonitor) dueServices(now time.Time) []string {
+// beginRounds begins the rounds of probes that are due, and returns what they confirm, by
+// service.
+func (mon *reachMonitor) beginRounds(now time.Time) map[string][]func() {
 	table := mon.state.table.Load()
 	if table == nil {
 		return nil
@@ -130,44 +157,49 @@
 	mon.mtx.Lock()
 	defer mon.mtx.Unlock()
 	mon.tracker.Retain(func(name string) bool { return table.Service(name) != nil })
-	var out []string
+	mon.publish()
+	out := map[string][]func(){}
 	for _, svc := range table.Config().Services {
 		if mon.tracker.BeginProbes(svc.Name, now) {
-			out = append(out, svc.Name)
+			out[svc.Name] = mon.unconfirmed[svc.Name]
+			delete(mon.unconfirmed, svc.Name)
 		}
 	}
 	return out
 }
 
-// probe connects to some servers of a service.
-func (mon *reachMonitor) probe(ctx context.Context, service string) {
+// publish publishes the services that are lost. The caller holds the mutex.
+func (mon *reachMonitor) publish() {
+	services := mon.tracker.LostServices()
+	mon.lostServices.Store(&services)
+	mon.metrics.lostServices.Set(float64(len(services)))
+}
+
+// probe connects to some servers of a service, and confirms or drops what waits for that.
+func (mon *reachMonitor) probe(ctx context.Context, service string, unconfirmed []func()) {
 	srvs := mon.serversOf(service)
-	picked := slices.Clone(srvs)
-	rand.Shuffle(len(picked), func(idx, other int) { picked[idx], picked[other] = picked[other], picked[idx] })
-	picked = picked[:min(reach.ProbeCount, len(picked))]
-	var accepted atomic.Int32
-	var conns sync.WaitGroup
-	for _, srv := range picked {
-		conns.Go(func() {
-			if mon.pools.Get(srv.Addr).Connect(ctx) == nil {
-				accepted.Add(1)
-			}
-		})
-	}
-	conns.Wait()
+	rand.Shuffle(len(srvs), func(idx, other int) { srvs[idx], srvs[other] = srvs[other], srvs[idx] })
+	picked := srvs[:min(reach.ProbeCount, len(srvs))]
+	num := mon.connect(ctx, picked)
 	if ctx.Err() != nil {
 		return
 	}
-	num := int(accepted.Load())
 	mon.metrics.reachProbes.Add(len(picked))
 	mon.mtx.Lock()
-	changed := mon.tracker.EndProbes(service, num, len(picked), time.Now())
-	lost := mon.tracker.Lost(service)
-	services := mon.tracker.LostServices()
+	before := mon.tracker.Lost(service)
+	result := mon.tracker.EndProbes(service, num, len(picked), time.Now())
+	if result == reach.Undecided {
+		mon.unconfirmed[service] = append(unconfirmed, mon.unconfirmed[service]...)
+	}
+	mon.publish()
 	mon.mtx.Unlock()
-	mon.lostServices.Store(&services)
-	mon.metrics.lostServices.Set(float64(len(services)))
-	if !changed {
+	if result == reach.Reached {
+		for _, fn := range unconfirmed {
+			fn()
+		}
+	}
+	lost := result == reach.Lost
+	if lost == before {
 		return
 	}
 	if lost {
@@ -175,16 +207,39 @@
 			mon.pools.Get(srv.Addr).Reset()
 		}
 	}
-	mon.log.WithFields(logrus.Fields{"event": "service_reach", "service": service, "lost": lost, "accepted": num, "probed": len(picked), "servers": len(srvs)}).Warn("the servers of a service are out of reach, or within reach again")
+	mon.log.WithFields(logrus.Fields{"event": "service_reach", "service": service, "lost": lost, "accepted": num, "probed": len(picked), "servers": len(srvs), "dropped": len(unconfirmed)}).Warn("the servers of a service are out of reach, or within reach again")
+}
+
+// connect opens a connection to each of the servers. It returns how many have accepted one,
+// as soon as that is half of them.
+func (mon *reachMonitor) connect(ctx context.Context, srvs []*site.Server) int {
+	results := make(chan bool, len(srvs))
+	for _, srv := range srvs {
+		go func() { results <- mon.pools.Get(srv.Addr).Connect(ctx) == nil }()
+	}
+	num := 0
+	for range srvs {
+		if <-results {
+			num++
+		}
+		if 2*num >= len(srvs) {
+			break
+		}
+	}
+	return num
 }
 
-// serversOf returns the servers of a service.
+// serversOf returns the servers of a service that may get connections and are not known to
+// have failed.
 func (mon *reachMonitor) serversOf(service string) []*site.Server {
 	var out []*site.Server
-	for _, srv := range mon.state.view.Load().Servers() {
-		if srv.Service == service {
-			out = append(out, srv)
+	now := time.Now()
+	mon.monitor.forwarder.loads.withLock(func(balancer *share.Balancer) {
+		for _, srv := range mon.state.view.Load().Servers() {
+			if srv.Service == service && !srv.Draining && !mon.state.excluded(srv) && !now.Before(balancer.LostUntil(srv.ID)) {
+				out = append(out, srv)
+			}
 		}
-	}
+	})
 	return out
 }
