Keep relayed requests within the attempts of their route

A request whose outcome at a peer is unknown goes to no other peer, except a stream in progress, and a peer answers 502 if no attempt is left. A peer that has lost the service itself, or could not connect, says that another one may take the request. A lost plain service no longer makes more nodes read the store.

The port for relayed requests in tests was that of metrics: TestMetrics and three others found no groups with it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -181,6 +181,9 @@
 // sendWithRetries sends the request until a server responds to it. The error is
 // a *notRunError only if the request certainly did not run.
 func (fwd *forwarder) sendWithRetries(call *call) (*attempt, error) {
+	if call.relayed && call.possibleRuns.Load() > 0 && int(call.possibleRuns.Load()) >= fwd.maxAttempts(call) {
+		return nil, core.Errorf(core.CodeUnknownOutcome, "no attempts left for a relayed request")
+	}
 	for {
 		if peer, ok := fwd.peerFor(call); ok {
 			out, attempt, err := fwd.tryPeer(call, peer)
@@ -259,8 +262,10 @@
 	switch {
 	case call.ctx.Err() != nil:
 		reason = "request ended"
-	case call.refusedByPeer:
-		reason = "refused by a peer"
+	case errors.Is(cause, errDeadlinePassed):
+		reason = "deadline passed"
+	case tgt.server == nil && call.endedAtPeer(out):
+		reason = "refused by a peer, or sent by it"
 	case out == outcomeUnknown && int(call.possibleRuns.Load()) >= fwd.maxAttempts(call):
 		reason = "no attempts left"
 	case len(call.tried()) >= maxServersTried && !fwd.hasPeer(call):
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -144,7 +144,7 @@
 	node := &testNode{gate: rig.store.NewEndpoint(), links: &serverLinks{proxies: map[string]*soak.Proxy{}}, done: make(chan error, 1)}
 	node.settings = site.Settings{
 		Node: fmt.Sprintf("n%d", len(rig.nodes)+1), IP: ip, Zone: zone, CallerAddr: net.JoinHostPort(ip, "18081"), ReadinessAddr: net.JoinHostPort(ip, "18082"),
-		StoreAddr: node.gate.Addr(), PeerPort: 18083, RelayPort: 18084, StopGrace: stopGrace,
+		StoreAddr: node.gate.Addr(), PeerPort: 18083, RelayPort: 18090, StopGrace: stopGrace,
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 2,
 	}
 	node.settings.MemoryBytes = rig.memoryBytes
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -182,6 +182,9 @@
 	parts := platform.DecodePromptParts(string(hdr.Peek(platform.HeaderPromptParts)))
 	call.lastEventID = string(hdr.Peek(platform.HeaderLastEventID))
 	call.deadline = now.Add(requestTimeout(call.route, hdr.Peek(platform.HeaderDeadline)))
+	if relayed && front.forwarder.reach.lost(call.service.Name) {
+		return call, nil, core.Errorf(core.CodeNotReady, "this entry VM does not reach the servers of %s", call.service.Name)
+	}
 	err = front.checkStop(call, now)
 	if err != nil {
 		return call, nil, err
@@ -427,6 +430,9 @@
 			after = minShareRetryAfter + rand.N(maxShareRetryAfter-minShareRetryAfter)
 		}
 		reqCtx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+		if call.relayed && (core.CodeOf(err) == core.CodeDialFailed || front.forwarder.reach.lost(call.service.Name)) {
+			reqCtx.Response.Header.Set(headerRelayElsewhere, "1")
+		}
 	case errors.Is(err, context.DeadlineExceeded) || core.CodeOf(err) == core.CodeDeadline:
 		status = fasthttp.StatusGatewayTimeout
 	case core.CodeOf(err) == core.CodeTooLarge:
--- a/entry/peerattempt.go
+++ b/entry/peerattempt.go
@@ -119,10 +119,10 @@
 func (fwd *forwarder) tryPeer(call *call, peer relayPeer) (outcome, *attempt, error) {
 	now := time.Now()
 	left := call.timeLeft(now)
+	call.triedPeers = append(call.triedPeers, peer.name)
 	if left <= 0 {
 		return outcomeNotRun, nil, errDeadlinePassed
 	}
-	call.triedPeers = append(call.triedPeers, peer.name)
 	fwd.log.WithFields(logrus.Fields{"event": "relayed", "request": call.id, "peer": peer.name, "left": left, "after_event": call.lastEventID}).Info("request relayed to a peer that reaches the servers")
 	req := call.peerRequest(left)
 	defer fasthttp.ReleaseRequest(req)
@@ -191,6 +191,12 @@
 	return outcomeUnknown, core.Errorf(core.CodeUnknownOutcome, "status %d from %v", status, attempt.target)
 }
 
+// endedAtPeer reports whether a call whose attempt at a peer had the outcome is not sent to
+// another one: the peer refused it, or may have sent it to as many servers as allowed.
+func (call *call) endedAtPeer(out outcome) bool {
+	return call.refusedByPeer || out == outcomeUnknown && call.response.Load() != responseBegun
+}
+
 // relayRuns returns how many servers may have executed a relayed request.
 func relayRuns(hdr *fasthttp.RequestHeader) int32 {
 	num, err := strconv.ParseInt(string(hdr.Peek(headerRelayRuns)), 10, 32)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -321,7 +322,7 @@
 			out.orderer = hb.storeReachable()
 		}
 		// A node that has lost the servers can't become the orderer in place of this one.
-		if hb.Zone == peers.self.Zone && hb.Node <= peers.self.Node && !hb.Stopping && len(hb.LostServices) == 0 {
+		if hb.Zone == peers.self.Zone && hb.Node <= peers.self.Node && !hb.Stopping && !peers.lostModels(hb.LostServices) {
 			out.earlier = out.earlier || hb.storeReachable()
 			out.rank++
 		}
@@ -329,6 +330,15 @@
 	return out
 }
 
+// lostModels reports whether one of the services has model servers.
+func (peers *peers) lostModels(services []string) bool {
+	table := peers.state.table.Load()
+	return table != nil && slices.ContainsFunc(services, func(name string) bool {
+		svc := table.Service(name)
+		return svc != nil && svc.Engine != nil
+	})
+}
+
 // readsStore reports whether this node should read the store. That holds for
 // the orderer. It holds for other nodes if there are few nodes or the orderer
 // does not reach the store: for a node if no live node of its zone that
--- a/entry/withoutservers_test.go
+++ b/entry/withoutservers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -174,3 +175,49 @@
 	<-done
 	assert.Assert(t, rig.orderer() != name)
 }
+
+// TestCutIsNoCrash guards against a part of prompts that is refused at all nodes because
+// one of them lost its connections to several servers at the same moment.
+func TestCutIsNoCrash(t *testing.T) {
+	rig := newTestClusterWith(t, 2, 6, func(rig *testCluster) { rig.cuttable, rig.keepAlive = true, true })
+	rig.waitReady()
+	setReplies(rig.engines, func(*http.Request, int) platfk.Response {
+		return platfk.Response{FirstDelay: 1500 * time.Millisecond}
+	})
+	withPart := func(own string) map[string]string {
+		return map[string]string{platform.HeaderPromptParts: "90c5a82f:800," + own + ":250"}
+	}
+	var callers sync.WaitGroup
+	for num := range 24 {
+		callers.Go(func() { rig.post(rig.nodes[0], "/stream/x", withPart(fmt.Sprintf("1%03d", num))) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	rig.nodes[0].links.setCut(cutReset)
+	setReplies(rig.engines, func(*http.Request, int) platfk.Response { return platfk.Response{} })
+	for num := range 40 {
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, rig.post(rig.nodes[1], "/stream/y", withPart(fmt.Sprintf("2%03d", num))).status, http.StatusOK)
+	}
+	callers.Wait()
+}
+
+// TestRelayedRuns guards against a relayed request that runs on more servers than its route
+// allows.
+func TestRelayedRuns(t *testing.T) {
+	rig := newCuttableCluster(t, 4)
+	rig.nodes[0].links.setCut(cutRefuse)
+	rig.callDuring(rig.nodes[0], reachBound)
+	setReplies(rig.plainServers, func(*http.Request, int) platfk.Response { return platfk.Response{CutAfter: -1} })
+	for num := range 5 {
+		resp := rig.post(rig.nodes[0], fmt.Sprint("/read/", num), nil)
+		assert.Assert(t, runCount(rig.plainServers, resp.id) <= 2, "%d runs", runCount(rig.plainServers, resp.id))
+	}
+	setReplies(rig.plainServers, func(*http.Request, int) platfk.Response { return platfk.Response{} })
+	relay := &testNode{settings: rig.nodes[1].settings}
+	relay.settings.CallerAddr = net.JoinHostPort(relay.settings.IP, fmt.Sprint(relay.settings.RelayPort))
+	for _, path := range []string{"/charge/x", "/read/x"} {
+		resp := rig.post(relay, path, map[string]string{"Relay-Config-Version": "1", "Relay-Runs": "2"})
+		assert.Equal(t, runCount(rig.plainServers, resp.id), 0)
+		assert.Equal(t, resp.status, http.StatusBadGateway)
+	}
+}
