--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -290,10 +290,16 @@
 }
 
 // recordInterrupted records that a connection to a server ended under a call, once it is
-// clear that this node has not lost all servers.
+// clear that this node has not lost all servers. It returns then, so that the call is not
+// sent to the next server before, or when the call ends.
 func (fwd *forwarder) recordInterrupted(call *call, srv *site.Server, cause error, begun bool) {
-	if record := fwd.guard.interrupted(call, srv, cause, begun); record != nil {
-		fwd.reach.confirm(call.service.Name, record)
+	record := fwd.guard.interrupted(call, srv, cause, begun)
+	if record == nil {
+		return
+	}
+	select {
+	case <-fwd.reach.confirm(call.service.Name, record):
+	case <-call.ctx.Done():
 	}
 }
 
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -45,12 +45,12 @@
 
 	mtx     sync.Mutex
 	tracker *reach.Tracker
-	// unconfirmed are the functions that wait for the next round of probes, by service.
-	unconfirmed map[string][]func()
+	// unconfirmed are the signs that wait for the next round of probes, by service.
+	unconfirmed map[string][]sign
 }
 
 func newReachMonitor(monitor *callMonitor, pools *wire.Pools, log *logrus.Logger, meter *nodeMetrics) *reachMonitor {
-	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now(), due: make(chan struct{}, 1), unconfirmed: map[string][]func(){}}
+	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now(), due: make(chan struct{}, 1), unconfirmed: map[string][]sign{}}
 	mon.lostServices.Store(&[]string{})
 	return mon
 }
@@ -96,14 +96,28 @@
 	mon.tracker.RecordFailure(service, time.Now())
 }
 
-// confirm calls fn once a round of probes that begins from now on finds the servers of the
-// service within reach, and drops it if they are lost. It is for signs that a server failed,
-// which say nothing about the server if this node has lost all of them.
-func (mon *reachMonitor) confirm(service string, fn func()) {
+// sign is a sign that a server failed. It says nothing about the server if this node has
+// lost all of them.
+type sign struct {
+	record func()
+	// decided is closed once the sign was recorded or dropped.
+	decided chan struct{}
+}
+
+// confirm calls record once a round of probes that begins from now on finds the servers of
+// the service within reach, and drops it if they are lost. The channel is closed after that.
+func (mon *reachMonitor) confirm(service string, record func()) <-chan struct{} {
+	sgn := sign{record: record, decided: make(chan struct{})}
 	mon.mtx.Lock()
-	mon.unconfirmed[service] = append(mon.unconfirmed[service], fn)
+	mon.unconfirmed[service] = append(mon.unconfirmed[service], sgn)
 	mon.tracker.RequestProbes(service, time.Now())
 	mon.mtx.Unlock()
+	mon.wake()
+	return sgn.decided
+}
+
+// wake makes run look for rounds that are due.
+func (mon *reachMonitor) wake() {
 	select {
 	case mon.due <- struct{}{}:
 	default:
@@ -149,7 +163,7 @@
 
 // beginRounds begins the rounds of probes that are due, and returns what they confirm, by
 // service.
-func (mon *reachMonitor) beginRounds(now time.Time) map[string][]func() {
+func (mon *reachMonitor) beginRounds(now time.Time) map[string][]sign {
 	table := mon.state.table.Load()
 	if table == nil {
 		return nil
@@ -158,7 +172,7 @@
 	defer mon.mtx.Unlock()
 	mon.tracker.Retain(func(name string) bool { return table.Service(name) != nil })
 	mon.publish()
-	out := map[string][]func(){}
+	out := map[string][]sign{}
 	for _, svc := range table.Config().Services {
 		if mon.tracker.BeginProbes(svc.Name, now) {
 			out[svc.Name] = mon.unconfirmed[svc.Name]
@@ -176,7 +190,7 @@
 }
 
 // probe connects to some servers of a service, and confirms or drops what waits for that.
-func (mon *reachMonitor) probe(ctx context.Context, service string, unconfirmed []func()) {
+func (mon *reachMonitor) probe(ctx context.Context, service string, unconfirmed []sign) {
 	srvs := mon.serversOf(service)
 	rand.Shuffle(len(srvs), func(idx, other int) { srvs[idx], srvs[other] = srvs[other], srvs[idx] })
 	picked := srvs[:min(reach.ProbeCount, len(srvs))]
@@ -193,10 +207,15 @@
 	}
 	mon.publish()
 	mon.mtx.Unlock()
-	if result == reach.Reached {
-		for _, fn := range unconfirmed {
-			fn()
+	mon.wake()
+	if result == reach.Undecided {
+		return
+	}
+	for _, sgn := range unconfirmed {
+		if result == reach.Reached {
+			sgn.record()
 		}
+		close(sgn.decided)
 	}
 	lost := result == reach.Lost
 	if lost == before {
