Send responses twice in the soak

Servers of the new kind server_repeat refuse a third of their requests and send a share of their responses a second time: before the next response on the connection, on the idle connection, or only the begin of a refusal, which the next header completes. It is drawn apart, so that the faults of earlier seeds stay as they are. Servers keep their connections open.

Some clients send a refused request that must not be repeated again with its ID. A run is attributed to the request after whose sending the server got it; runs of the ID are counted together.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -52,6 +52,20 @@
 	// node accepted the connection, kept if the connection carried a request before.
 	cancelled, complete, connected, kept bool
 	err                                  error
+	// next is the next request of the client with this ID, nil if there is none.
+	next *callRecord
+}
+
+// own returns those of the server requests with the ID of the call that belong to it, not
+// to another request of the client with the ID.
+func (call *callRecord) own(reqs []serverRequest) []serverRequest {
+	var out []serverRequest
+	for _, req := range reqs {
+		if !req.ReceivedAt.Before(call.sentAt) && (call.next == nil || req.ReceivedAt.Before(call.next.sentAt)) {
+			out = append(out, req)
+		}
+	}
+	return out
 }
 
 func (call *callRecord) String() string {
@@ -109,6 +123,7 @@
 			call := newCall(rt, rt.drawWork(rng), rng.Float64() < cancelProbability)
 			dep.send(client, node, call)
 			dep.calls.add(call)
+			dep.sendRefused(call)
 			if call.err != nil && !call.cancelled {
 				dep.retry(rng, call)
 				break
--- a/soak/check.go
+++ b/soak/check.go
@@ -109,16 +109,24 @@
 	}
 }
 
-// checkExecutions checks that a request did not execute more often than allowed,
-// and that one which a node rejected did not execute at all.
-func checkExecutions(call *callRecord, reqs []serverRequest, addf func(string, ...any)) {
-	executions := 0
+// executed returns the requests that executed.
+func executed(reqs []serverRequest) []serverRequest {
+	var out []serverRequest
 	for _, req := range reqs {
 		if req.Executed {
-			executions++
+			out = append(out, req)
 		}
 	}
+	return out
+}
+
+// checkExecutions checks that a request did not execute more often than allowed,
+// and that one which a node rejected did not execute at all. reqs are all server requests
+// with the ID of the call.
+func checkExecutions(call *callRecord, reqs []serverRequest, addf func(string, ...any)) {
+	executions := len(executed(reqs))
 	switch {
+	case call.next != nil:
 	case !call.route.mayRepeat() && executions > 1:
 		addf("request that must not be repeated executed %d times: %v", executions, call)
 	case executions > call.route.Attempts:
@@ -126,8 +134,8 @@
 	}
 	switch call.status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if executions > 0 && call.responseStamp == "" {
-			addf("request was rejected but executed at %s: %v", reqs[0].srv.ID(), call)
+		if own := executed(call.own(reqs)); len(own) > 0 && call.responseStamp == "" {
+			addf("request was rejected but executed at %s: %v", own[0].srv.ID(), call)
 		}
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
 		addf("unexpected authorization or routing failure: %v", call)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -201,7 +201,7 @@
 		zone = zoneName(domainNumber(domain))
 	}
 	srv := platfk.NewServer(dep.store, platfk.ServerConfig{
-		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(),
+		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(), KeepAlive: true,
 		AdvertisedAddr: func(addr string) string {
 			if proxy == nil && err == nil {
 				proxy, err = NewProxy(addr)
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -124,6 +124,23 @@
 	run(t, soak.Options{Program: buildProgram(t), Seed: 106, Duration: 14 * time.Second, Nodes: 3, Groups: 3, Evacuate: true, Profile: prof, Faults: faults})
 }
 
+// TestSecondAnswers sends requests that must not be repeated to servers that refuse a part
+// of them and send many responses twice. It guards against the copy of a response that is
+// taken for the answer to a request that runs.
+func TestSecondAnswers(t *testing.T) {
+	t.Parallel()
+	prof := soak.ShortProfile()
+	draft := prof.Routes[0]
+	draft.Name, draft.Resumable, draft.Attempts = "draft", false, 1
+	prof.Routes[1].Weight, prof.Routes = 3, append(prof.Routes, draft)
+	prof.ClientsPerNode = 12
+	var faults []soak.Fault
+	for seed := range uint64(12) {
+		faults = append(faults, soak.Fault{Kind: soak.ServerRepeat, StartsAfter: 500 * time.Millisecond, Duration: 6 * time.Second, TargetSeed: seed, Share: 0.7})
+	}
+	run(t, soak.Options{Program: buildProgram(t), Seed: 108, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
+}
+
 // waitOnly returns a schedule without an effect on requests that lasts for the time.
 func waitOnly(length time.Duration) []soak.Fault {
 	return []soak.Fault{{Kind: soak.Configure, StartsAfter: length}}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -202,13 +202,14 @@
 func (dep *deployment) judgeLosses(planned bool, requests map[string][]serverRequest, serverByID map[string]*server) (violations []string, excuses map[Excuse]int) {
 	excuses = map[Excuse]int{}
 	var keptLosses []string
-	read := map[*Node]map[string]bool{}
+	read := map[*Node]map[string]string{}
 	for _, node := range dep.nodes {
 		read[node] = node.loggedRequests()
 	}
 	for _, call := range dep.calls.all() {
-		ev := dep.evidenceOf(call, requests[call.id], serverByID)
-		ev.Read, ev.Calm = read[call.node][call.id], planned
+		ev := dep.evidenceOf(call, call.own(requests[call.id]), serverByID)
+		// The node may have read an earlier request with the ID.
+		ev.Read, ev.Calm = read[call.node][call.id] >= call.sentAt.Format(logTimeFormat), planned
 		exc := ev.Planned()
 		excuses[exc]++
 		if exc == NoExcuse {
--- a/soak/node.go
+++ b/soak/node.go
@@ -223,14 +223,18 @@
 	return slices.Clone(node.terms), slices.Clone(node.reloads), slices.Clone(node.disruptions), slices.Clone(node.lives)
 }
 
-var requestField = regexp.MustCompile(`request=([0-9a-f]{16})`)
+// logTimeFormat is the format of times in the log.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// loggedRequests returns the IDs of the requests that the log names.
-func (node *Node) loggedRequests() map[string]bool {
-	out := map[string]bool{}
+var requestField = regexp.MustCompile(`(?m)^time="([^"]*)".* request=([0-9a-f]{16})`)
+
+// loggedRequests returns the IDs of the requests that the log names, with the times of the
+// last lines that name them.
+func (node *Node) loggedRequests() map[string]string {
+	out := map[string]string{}
 	log, _ := node.logAndViolations()
 	for _, match := range requestField.FindAllSubmatch(log, -1) {
-		out[string(match[1])] = true
+		out[string(match[2])] = string(match[1])
 	}
 	return out
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -73,6 +73,9 @@
 	// ServerUneven makes a third of the backend servers slower, and much slower while
 	// they get more than a few requests a second. It is drawn apart too.
 	ServerUneven
+	// ServerRepeat makes a backend server refuse a part of its requests, and send a share
+	// of its responses twice. It is drawn apart too.
+	ServerRepeat
 	// NodeLateTerm stops a node whose process runs late when the signal arrives. It is
 	// never drawn.
 	NodeLateTerm
@@ -104,6 +107,8 @@
 		return "server_cold"
 	case ServerUneven:
 		return "server_uneven"
+	case ServerRepeat:
+		return "server_repeat"
 	case NodeLateTerm:
 		return "node_late_term"
 	case Evacuate:
@@ -230,6 +235,16 @@
 	return appendFaults(faults, rng, ServerUneven, rng.IntN(3), duration, maxDuration, maxDuration)
 }
 
+// AddRepeat adds servers that send responses twice to the faults of a seed: two to four,
+// none to planned maintenance.
+func AddRepeat(faults []Fault, seed uint64, duration time.Duration, planned bool) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	if planned {
+		return faults
+	}
+	return appendFaults(faults, rng, ServerRepeat, 2+rng.IntN(3), duration, maxDuration, maxDuration)
+}
+
 // appendFaults adds num faults of a kind that last at least shortest, and up to spread
 // longer.
 func appendFaults(faults []Fault, rng *rand.Rand, kind Kind, num int, duration, shortest, spread time.Duration) []Fault {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,8 @@
 	Cold bool
 	// Uneven adds servers of different speed to the faults of the seed.
 	Uneven bool
+	// Repeat adds servers that send responses twice to the faults of the seed.
+	Repeat bool
 	// Faults replace those of the seed if they are not nil. Planned is set if they are
 	// planned maintenance only.
 	Faults  []Fault
@@ -91,6 +93,9 @@
 	if opts.Uneven {
 		faults = AddUneven(faults, opts.Seed, opts.Duration, planned)
 	}
+	if opts.Repeat {
+		faults = AddRepeat(faults, opts.Seed, opts.Duration, planned)
+	}
 	if opts.Faults != nil {
 		return opts.Faults, opts.Planned
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	groups   = flag.Int("soak.groups", 3, "number of groups")
 	jobs     = flag.Int("soak.jobs", 1, "number of seeds that run concurrently")
 	traffic  = flag.String("soak.traffic", "", "file of the traffic profile; empty selects those in deploy/traffic in turn with short streams")
+	program  = flag.String("soak.program", "", "path of the kumentry binary; empty builds it")
 	out      = flag.String("soak.out", "", "directory for the reports and logs of failed seeds")
 )
 
@@ -62,9 +63,13 @@
 	{1796587018634, "", true, "the check counted the crash of a server that had become cold while the store was down, by requests at the usual rate"},
 }
 
-// buildProgram builds kumentry and returns the path of the binary.
+// buildProgram builds kumentry, unless -soak.program names it, and returns the path of the
+// binary.
 func buildProgram(t *testing.T) string {
 	t.Helper()
+	if *program != "" {
+		return *program
+	}
 	path := filepath.Join(t.TempDir(), "kumentry")
 	output, err := exec.Command("go", "build", "-o", path, "../cmd/kumentry").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
@@ -94,7 +99,7 @@
 
 // runSeed runs a seed with the traffic, short streams if it is nil, and reports each
 // violation as a test error. later adds the kinds of faults that the older seeds don't have.
-func runSeed(t *testing.T, program string, seed uint64, prof *soak.Profile, later bool) {
+func runSeed(t *testing.T, binary string, seed uint64, prof *soak.Profile, later bool) {
 	t.Helper()
 	length := *duration
 	switch {
@@ -103,7 +108,7 @@
 	case length == 0:
 		length = profileLength
 	}
-	run(t, soak.Options{Program: program, Seed: seed, Duration: length, Nodes: *nodes, Groups: *groups, Profile: prof, Garble: later, Evacuate: later, Cold: later, Uneven: later})
+	run(t, soak.Options{Program: binary, Seed: seed, Duration: length, Nodes: *nodes, Groups: *groups, Profile: prof, Garble: later, Evacuate: later, Cold: later, Uneven: later, Repeat: later})
 }
 
 // run runs the deployment of the options, reports each violation as a test error and returns
@@ -133,7 +138,7 @@
 
 // TestSoak runs new seeds, each as a subtest with the seed as its name.
 func TestSoak(t *testing.T) {
-	program := buildProgram(t)
+	binary := buildProgram(t)
 	from := *first
 	if from == 0 {
 		from = uint64(time.Now().UnixMilli())
@@ -146,7 +151,7 @@
 				t.Parallel()
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				runSeed(t, program, seed, profileOf(t, seed), true)
+				runSeed(t, binary, seed, profileOf(t, seed), true)
 			})
 		}
 	})
@@ -157,7 +162,7 @@
 
 // TestRegressions runs the seeds that failed before.
 func TestRegressions(t *testing.T) {
-	program := buildProgram(t)
+	binary := buildProgram(t)
 	slots := make(chan struct{}, regressionJobs)
 	for _, regression := range regressions {
 		t.Run(fmt.Sprint(regression.seed), func(t *testing.T) {
@@ -165,7 +170,7 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			t.Log(regression.cause)
-			runSeed(t, program, regression.seed, loadProfile(t, regression.traffic), regression.later)
+			runSeed(t, binary, regression.seed, loadProfile(t, regression.traffic), regression.later)
 		})
 	}
 }
@@ -176,7 +181,7 @@
 	for seed := range uint64(200) {
 		faults, planned := soak.Schedule(seed, 10*time.Second)
 		again, _ := soak.Schedule(seed, 10*time.Second)
-		for _, add := range []func([]soak.Fault, uint64, time.Duration, bool) []soak.Fault{soak.AddGarble, soak.AddCold, soak.AddUneven} {
+		for _, add := range []func([]soak.Fault, uint64, time.Duration, bool) []soak.Fault{soak.AddGarble, soak.AddCold, soak.AddUneven, soak.AddRepeat} {
 			faults = add(faults, seed, 10*time.Second, planned)
 			again = add(again, seed, 10*time.Second, planned)
 		}
