Let half of the servers send responses twice in the soak

The fault now affects half of the servers, with at least half of their responses, and half of the copies of refusals are cut.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -56,6 +56,8 @@
 		undo = dep.injectRestore(rng)
 	case Evacuate:
 		undo = dep.injectEvacuation(rng)
+	case ServerRepeat:
+		undo = dep.injectRepeat(fault, rng)
 	case UploadBurst:
 		undo = dep.injectUploads()
 	case ServerUneven:
@@ -235,9 +237,6 @@
 		return dep.freezeServer(srv, fault.Duration), nil
 	case ServerCold:
 		return dep.chillServer(srv, fault, rng), nil
-	case ServerRepeat:
-		srv.SetResponder(func(req *http.Request, _ int) platfk.Response { return srv.repeatedResponse(req, fault.Share) })
-		return func() { srv.SetResponder(healthyResponse) }, nil
 	case LinkReset:
 		end := srv.beginFault()
 		srv.proxy.Reset()
--- a/soak/repeat.go
+++ b/soak/repeat.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// One of repeatInterval servers sends responses twice, minRepeatShare of them at least.
+	repeatInterval = 2
+	minRepeatShare = 0.5
 	// One of refuseInterval requests is refused by a server that sends responses twice.
 	refuseInterval = 3
 	// maxRepeatDelay is the longest time for which a connection is idle before the copy
@@ -25,6 +28,24 @@
 	maxSameIDDelay    = 100 * time.Millisecond
 )
 
+// injectRepeat makes a part of the servers send responses twice.
+func (dep *deployment) injectRepeat(fault Fault, rng *rand.Rand) func() {
+	share := minRepeatShare + (1-minRepeatShare)*fault.Share
+	var affected []*server
+	for _, srv := range dep.activeServers() {
+		if rng.IntN(repeatInterval) > 0 {
+			continue
+		}
+		srv.SetResponder(func(req *http.Request, _ int) platfk.Response { return srv.repeatedResponse(req, share) })
+		affected = append(affected, srv)
+	}
+	return func() {
+		for _, srv := range affected {
+			srv.SetResponder(healthyResponse)
+		}
+	}
+}
+
 // repeatedResponse returns the response of a server that refuses a part of its requests
 // and sends a share of its responses twice: the copy arrives where the next response is
 // due, or on an idle connection. That of a refusal may be cut in its header, which the
@@ -35,7 +56,7 @@
 	if rand.Float64() >= share || req.Header.Get(platform.HeaderAttemptID) == "" {
 		return resp
 	}
-	cut := resp.Refuse && rand.IntN(3) == 0
+	cut := resp.Refuse && rand.IntN(2) == 0
 	if cut {
 		resp.RetryAfter = cutRetryAfter
 	}
@@ -44,7 +65,7 @@
 		end := strings.Index(again, cutRetryAfter) + len(cutRetryAfter) - 1
 		again = again[:end]
 	}
-	if rand.IntN(2) == 0 {
+	if rand.IntN(3) == 0 {
 		resp.AgainAfter = 1 + rand.N(maxRepeatDelay)
 	}
 	resp.Again = again
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -73,8 +73,8 @@
 	// ServerUneven makes a third of the backend servers slower, and much slower while
 	// they get more than a few requests a second. It is drawn apart too.
 	ServerUneven
-	// ServerRepeat makes a backend server refuse a part of its requests, and send a share
-	// of its responses twice. It is drawn apart too.
+	// ServerRepeat makes half of the backend servers refuse a part of their requests, and
+	// send a share of their responses twice. It is drawn apart too.
 	ServerRepeat
 	// NodeLateTerm stops a node whose process runs late when the signal arrives. It is
 	// never drawn.
