Cut nodes off from all backend servers in the soak

No fault of the soak did that: the proxies of the servers apply their faults to the connections of all nodes.

With the new kind node_stranded, drawn apart, the proxies find the node that opened a connection by its socket in /proc, in runs with such a fault only. The connections of one node or of most nodes hang, are reset, or live on while new ones are refused. The judge compares the first tries from 3 s after the begin of a cut, at nodes in touch. A cut excuses a request around planned work, and a response that had begun, but no connection that is closed without an answer.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -52,6 +52,8 @@
 	// node accepted the connection, kept if the connection carried a request before.
 	cancelled, complete, connected, kept bool
 	err                                  error
+	// first is set for the first try of a client.
+	first bool
 	// next is the next request of the client with this ID, nil if there is none.
 	next *callRecord
 }
@@ -121,6 +123,7 @@
 			}
 			rt := prof.pick(rng)
 			call := newCall(rt, rt.drawWork(rng), rng.Float64() < cancelProbability)
+			call.first = true
 			dep.send(client, node, call)
 			dep.calls.add(call)
 			dep.sendRefused(call)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -70,6 +70,8 @@
 	evacuated         evacuationLog
 	// disruptiveFaults is the number of faults in progress that may lose requests.
 	disruptiveFaults atomic.Int64
+	// links is nil if no fault of the run cuts nodes off from the servers.
+	links *nodeLinks
 	// levelCounts are the requests of each service by priority, in a run with levels.
 	levelCounts map[string][]LevelCount
 }
@@ -118,6 +120,10 @@
 	if dep.profile == nil {
 		dep.profile = ShortProfile()
 	}
+	faults, _ := opts.schedule()
+	if slices.ContainsFunc(faults, func(fault Fault) bool { return fault.Kind == NodeStranded }) {
+		dep.links = &nodeLinks{faults: map[*Node]ConnFault{}}
+	}
 	for num := range opts.Groups {
 		for range groupSize {
 			if err := dep.addServer(engineService, domainName(num)); err != nil {
@@ -173,7 +179,7 @@
 // addNode starts an entry node on its own loopback address.
 func (dep *deployment) addNode(num int) error {
 	node := &Node{storeEndpoint: dep.store.NewEndpoint()}
-	proxy, err := NewProxy(node.storeEndpoint.Addr())
+	proxy, err := NewProxy(node.storeEndpoint.Addr(), nil)
 	if err != nil {
 		return err
 	}
@@ -185,6 +191,9 @@
 		ColdRatio: coldRatio, ColdSlack: coldSlack,
 	}
 	dep.nodes = append(dep.nodes, node)
+	if dep.links != nil {
+		dep.links.addNode(node)
+	}
 	return node.start(dep.options.Dir, dep.options.Program)
 }
 
@@ -204,7 +213,7 @@
 		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(), KeepAlive: true,
 		AdvertisedAddr: func(addr string) string {
 			if proxy == nil && err == nil {
-				proxy, err = NewProxy(addr)
+				proxy, err = NewProxy(addr, dep.links)
 			}
 			if err != nil {
 				return addr
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -138,7 +138,20 @@
 	for seed := range uint64(4) {
 		faults = append(faults, soak.Fault{Kind: soak.ServerRepeat, StartsAfter: 500 * time.Millisecond, Duration: 6 * time.Second, TargetSeed: seed, Share: 0.7})
 	}
-	run(t, soak.Options{Program: buildProgram(t), Seed: 108, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
+	run(t, soak.Options{Program: buildProgram(t), Seed: 108, Duration: 7 * time.Second, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
+}
+
+// TestStrandedNodes cuts nodes off from all backend servers in each form. It guards against
+// callers of such nodes who are served far worse than those of the others.
+func TestStrandedNodes(t *testing.T) {
+	t.Parallel()
+	prof := soak.ShortProfile()
+	prof.ClientsPerNode = 8
+	var faults []soak.Fault
+	for num, share := range []float64{1, 0, 1} {
+		faults = append(faults, soak.Fault{Kind: soak.NodeStranded, StartsAfter: time.Second + time.Duration(num)*8*time.Second, Duration: 7 * time.Second, TargetSeed: uint64(num), Share: share})
+	}
+	run(t, soak.Options{Program: buildProgram(t), Seed: 109, Duration: 24 * time.Second, Nodes: 4, Groups: 3, Profile: prof, Faults: faults})
 }
 
 // waitOnly returns a schedule without an effect on requests that lasts for the time.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -58,6 +58,8 @@
 		undo = dep.injectEvacuation(rng)
 	case ServerRepeat:
 		undo = dep.injectRepeat(fault, rng)
+	case NodeStranded:
+		undo = dep.injectStranded(fault, rng)
 	case UploadBurst:
 		undo = dep.injectUploads()
 	case ServerUneven:
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -74,7 +74,11 @@
 	// Disruptions are those of the node that are not planned, Lives the periods in which a
 	// process of the node ran.
 	Disruptions, Lives []Period
-	Grace              time.Duration
+	// Cuts are the periods in which the node was cut off from all backend servers, Begun is
+	// set if the client got the begin of a response.
+	Cuts  []Period
+	Begun bool
+	Grace time.Duration
 	// Calm is set in a run without unplanned disruptions: a request may then be lost at
 	// no time.
 	Calm bool
@@ -157,6 +161,11 @@
 	if ev.working() {
 		return ExcuseWorking
 	}
+	for _, sp := range ev.Cuts {
+		if sp.overlaps(ev.SentAt.Add(-stableWindow), ev.EndedAt) {
+			return ExcuseDisruption
+		}
+	}
 	if !ev.aroundPlannedWork() {
 		return ExcuseUnplanned
 	}
@@ -189,6 +198,12 @@
 	if !ev.PassedOn {
 		return ExcuseUnread
 	}
+	for _, sp := range ev.Cuts {
+		// A node that is cut off can still answer, but not complete a response.
+		if ev.Begun && sp.overlaps(ev.SentAt, ev.EndedAt) {
+			return ExcuseServer
+		}
+	}
 	for _, at := range ev.Terms {
 		if (Period{From: at, To: at.Add(ev.Grace)}).overlaps(ev.SentAt.Add(-stableWindow), ev.EndedAt) {
 			return ExcuseDisruption
@@ -239,6 +254,10 @@
 		ev.WorkedUntil = req.EndedAt
 	}
 	ev.Terms, ev.Reloads, ev.Disruptions, ev.Lives = call.node.history()
+	ev.Begun = call.status != 0
+	if dep.links != nil {
+		ev.Cuts = dep.links.cutsOf(call.node)
+	}
 	dep.mu.Lock()
 	ev.Configs = append(ev.Configs, dep.configTimes...)
 	dep.mu.Unlock()
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -69,6 +69,8 @@
 		{"disruption before the window", func(ev *soak.Evidence) { ev.Disruptions = []soak.Period{{From: at(-2), To: at(-1.1)}} }, soak.NoExcuse},
 		{"disruption that lasts", func(ev *soak.Evidence) { ev.Disruptions = []soak.Period{{From: at(6)}} }, soak.ExcuseDisruption},
 		{"disruption after the end", func(ev *soak.Evidence) { ev.Disruptions = []soak.Period{{From: at(6.6)}} }, soak.NoExcuse},
+		{"cut off in the window before", func(ev *soak.Evidence) { ev.Cuts = []soak.Period{{From: at(-2), To: at(-0.9)}} }, soak.ExcuseDisruption},
+		{"cut off before the window", func(ev *soak.Evidence) { ev.Cuts = []soak.Period{{From: at(-2), To: at(-1.1)}} }, soak.NoExcuse},
 		{"no planned work", func(ev *soak.Evidence) { ev.Terms = nil }, soak.ExcuseUnplanned},
 		{"no planned work in a calm run", func(ev *soak.Evidence) { ev.Terms, ev.Calm = nil, true }, soak.NoExcuse},
 		{"reload before", func(ev *soak.Evidence) { ev.Terms, ev.Reloads = nil, []time.Time{at(0.5)} }, soak.NoExcuse},
@@ -90,6 +92,13 @@
 		assert.Equal(t, ev.Anytime(), soak.ExcuseDisruption, "around SIGTERM")
 		ev.Terms = nil
 		assert.Equal(t, ev.Anytime(), soak.NoExcuse)
+		ev.Cuts = []soak.Period{{From: at(6)}}
+		assert.Equal(t, ev.Anytime(), soak.NoExcuse, "cut off, without an answer")
+		ev.Begun = true
+		assert.Equal(t, ev.Anytime(), soak.ExcuseServer, "cut off while a response arrived")
+		ev.Cuts = []soak.Period{{From: at(-1), To: at(1.9)}}
+		assert.Equal(t, ev.Anytime(), soak.NoExcuse, "cut off before")
+		ev.Cuts, ev.Begun = nil, false
 		ev.Kept = false
 		assert.Equal(t, ev.Anytime(), soak.ExcuseNew)
 	})
@@ -126,3 +135,26 @@
 		assert.Equal(t, len(got), tt.reports, "%s: %v", tt.name, got)
 	}
 }
+
+// TestCutCount judges first tries beside the bounds. It guards against a judge that
+// overlooks callers of cut-off nodes who are served far worse, or reports a few failures.
+func TestCutCount(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		cut, others soak.TryCount
+		violation   bool
+	}{
+		{"none served", soak.TryCount{Sent: 100}, soak.TryCount{Sent: 300, Served: 290}, true},
+		{"all served", soak.TryCount{Sent: 100, Served: 100}, soak.TryCount{Sent: 300, Served: 300}, false},
+		{"two thirds as often", soak.TryCount{Sent: 90, Served: 60}, soak.TryCount{Sent: 300, Served: 300}, false},
+		{"less than two thirds as often", soak.TryCount{Sent: 90, Served: 59}, soak.TryCount{Sent: 300, Served: 300}, true},
+		{"as seldom as the others", soak.TryCount{Sent: 90, Served: 20}, soak.TryCount{Sent: 300, Served: 100}, false},
+		{"few failures", soak.TryCount{Sent: 20, Served: 2}, soak.TryCount{Sent: 380, Served: 380}, false},
+		{"one failure more", soak.TryCount{Sent: 20, Served: 1}, soak.TryCount{Sent: 380, Served: 380}, true},
+		{"no first tries there", soak.TryCount{}, soak.TryCount{Sent: 300, Served: 300}, false},
+		{"none elsewhere", soak.TryCount{Sent: 100}, soak.TryCount{}, false},
+	} {
+		got := soak.CutCount{Cut: tt.cut, Others: tt.others}.Judge()
+		assert.Equal(t, got != "", tt.violation, "%s: %s", tt.name, got)
+	}
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -76,6 +76,9 @@
 	// ServerRepeat makes half of the backend servers refuse a part of their requests, and
 	// send a share of their responses twice. It is drawn apart too.
 	ServerRepeat
+	// NodeStranded cuts a node, or most nodes, off from all backend servers. It is drawn
+	// apart too.
+	NodeStranded
 	// NodeLateTerm stops a node whose process runs late when the signal arrives. It is
 	// never drawn.
 	NodeLateTerm
@@ -109,6 +112,8 @@
 		return "server_uneven"
 	case ServerRepeat:
 		return "server_repeat"
+	case NodeStranded:
+		return "node_stranded"
 	case NodeLateTerm:
 		return "node_late_term"
 	case Evacuate:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,9 @@
 	Uneven bool
 	// Repeat adds servers that send responses twice to the faults of the seed.
 	Repeat bool
+	// Stranded adds nodes that are cut off from all backend servers to the faults of the
+	// seed.
+	Stranded bool
 	// Faults replace those of the seed if they are not nil. Planned is set if they are
 	// planned maintenance only.
 	Faults  []Fault
@@ -70,6 +73,8 @@
 	Levels map[string][]LevelCount
 	// PeakMemory is the largest resident memory of a node, in bytes.
 	PeakMemory int64
+	// Cuts are the first tries while nodes were cut off from all backend servers.
+	Cuts []CutCount
 	// Violations describes the checks that failed.
 	Violations []string
 	deployment *deployment
@@ -96,6 +101,9 @@
 	if opts.Repeat {
 		faults = AddRepeat(faults, opts.Seed, opts.Duration, planned)
 	}
+	if opts.Stranded {
+		faults = AddStranded(faults, opts.Seed, opts.Duration, planned)
+	}
 	if opts.Faults != nil {
 		return opts.Faults, opts.Planned
 	}
@@ -133,6 +141,12 @@
 	wg.Wait()
 	report.Violations = append(report.Violations, dep.check(report.PlannedOnly)...)
 	report.Violations = append(report.Violations, dep.waitForVersionChecks()...)
+	report.Cuts = dep.countCuts()
+	for _, cnt := range report.Cuts {
+		if violation := cnt.Judge(); violation != "" {
+			report.Violations = append(report.Violations, violation)
+		}
+	}
 	report.Excuses, report.Levels = map[string]int{}, dep.levelCounts
 	for exc, num := range dep.excuses {
 		report.Excuses[string(exc)] = num
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 	jobs     = flag.Int("soak.jobs", 1, "number of seeds that run concurrently")
 	traffic  = flag.String("soak.traffic", "", "file of the traffic profile; empty selects those in deploy/traffic in turn with short streams")
 	program  = flag.String("soak.program", "", "path of the kumentry binary; empty builds it")
+	stranded = flag.Bool("soak.stranded", false, "cut nodes off from all backend servers")
 	out      = flag.String("soak.out", "", "directory for the reports and logs of failed seeds")
 )
 
@@ -108,7 +109,7 @@
 	case length == 0:
 		length = profileLength
 	}
-	run(t, soak.Options{Program: binary, Seed: seed, Duration: length, Nodes: *nodes, Groups: *groups, Profile: prof, Garble: later, Evacuate: later, Cold: later, Uneven: later, Repeat: later})
+	run(t, soak.Options{Program: binary, Seed: seed, Duration: length, Nodes: *nodes, Groups: *groups, Profile: prof, Garble: later, Evacuate: later, Cold: later, Uneven: later, Repeat: later, Stranded: *stranded})
 }
 
 // run runs the deployment of the options, reports each violation as a test error and returns
@@ -124,6 +125,9 @@
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d faults, planned maintenance only %v, %d of %d requests served, %d MB at most", seed, len(report.Schedule), report.PlannedOnly, report.Served, report.Calls, report.PeakMemory>>20)
 	t.Logf("requests by excuse: %v", report.Excuses)
+	for _, cnt := range report.Cuts {
+		t.Logf("first tries while nodes were cut off: %+v", cnt)
+	}
 	for _, fault := range report.Schedule {
 		t.Log(fault)
 	}
@@ -181,7 +185,7 @@
 	for seed := range uint64(200) {
 		faults, planned := soak.Schedule(seed, 10*time.Second)
 		again, _ := soak.Schedule(seed, 10*time.Second)
-		for _, add := range []func([]soak.Fault, uint64, time.Duration, bool) []soak.Fault{soak.AddGarble, soak.AddCold, soak.AddUneven, soak.AddRepeat} {
+		for _, add := range []func([]soak.Fault, uint64, time.Duration, bool) []soak.Fault{soak.AddGarble, soak.AddCold, soak.AddUneven, soak.AddRepeat, soak.AddStranded} {
 			faults = add(faults, seed, 10*time.Second, planned)
 			again = add(again, seed, 10*time.Second, planned)
 		}
