--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -187,7 +187,7 @@
 	ip := fmt.Sprintf("%s.%d", dep.options.Subnet, num+1)
 	node.settings = site.Settings{
 		Node: fmt.Sprintf("n%02d", num+1), IP: ip, Zone: zoneName(num), CallerAddr: net.JoinHostPort(ip, "19081"), ReadinessAddr: net.JoinHostPort(ip, "19082"),
-		StoreAddr: proxy.Addr(), PeerPort: 19083, StopGrace: stopGrace, MemoryBytes: 256 << 20, RetryRatio: 0.2, RetrySlack: 130, RetryWindow: 10 * time.Second, EvacuationTimeout: evacuationBound,
+		StoreAddr: proxy.Addr(), PeerPort: 19083, RelayPort: 19084, StopGrace: stopGrace, MemoryBytes: 256 << 20, RetryRatio: 0.2, RetrySlack: 130, RetryWindow: 10 * time.Second, EvacuationTimeout: evacuationBound,
 		ColdRatio: coldRatio, ColdSlack: coldSlack,
 	}
 	dep.nodes = append(dep.nodes, node)
