--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -70,6 +70,8 @@
 	evacuated         evacuationLog
 	// disruptiveFaults is the number of faults in progress that may lose requests.
 	disruptiveFaults atomic.Int64
+	// links is nil if no fault of the run cuts nodes off from the servers.
+	links *nodeLinks
 	// levelCounts are the requests of each service by priority, in a run with levels.
 	levelCounts map[string][]LevelCount
 }
@@ -118,6 +120,10 @@
 	if dep.profile == nil {
 		dep.profile = ShortProfile()
 	}
+	faults, _ := opts.schedule()
+	if slices.ContainsFunc(faults, func(fault Fault) bool { return fault.Kind == NodeStranded }) {
+		dep.links = &nodeLinks{faults: map[*Node]ConnFault{}}
+	}
 	for num := range opts.Groups {
 		for range groupSize {
 			if err := dep.addServer(engineService, domainName(num)); err != nil {
@@ -173,7 +179,7 @@
 // addNode starts an entry node on its own loopback address.
 func (dep *deployment) addNode(num int) error {
 	node := &Node{storeEndpoint: dep.store.NewEndpoint()}
-	proxy, err := NewProxy(node.storeEndpoint.Addr())
+	proxy, err := NewProxy(node.storeEndpoint.Addr(), nil)
 	if err != nil {
 		return err
 	}
@@ -181,10 +187,13 @@
 	ip := fmt.Sprintf("%s.%d", dep.options.Subnet, num+1)
 	node.settings = site.Settings{
 		Node: fmt.Sprintf("n%02d", num+1), IP: ip, Zone: zoneName(num), CallerAddr: net.JoinHostPort(ip, "19081"), ReadinessAddr: net.JoinHostPort(ip, "19082"),
-		StoreAddr: proxy.Addr(), PeerPort: 19083, StopGrace: stopGrace, MemoryBytes: 256 << 20, RetryRatio: 0.2, RetrySlack: 130, RetryWindow: 10 * time.Second, EvacuationTimeout: evacuationBound,
+		StoreAddr: proxy.Addr(), PeerPort: 19083, RelayPort: 19084, StopGrace: stopGrace, MemoryBytes: 256 << 20, RetryRatio: 0.2, RetrySlack: 130, RetryWindow: 10 * time.Second, EvacuationTimeout: evacuationBound,
 		ColdRatio: coldRatio, ColdSlack: coldSlack,
 	}
 	dep.nodes = append(dep.nodes, node)
+	if dep.links != nil {
+		dep.links.addNode(node)
+	}
 	return node.start(dep.options.Dir, dep.options.Program)
 }
 
@@ -201,10 +210,10 @@
 		zone = zoneName(domainNumber(domain))
 	}
 	srv := platfk.NewServer(dep.store, platfk.ServerConfig{
-		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(),
+		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(), KeepAlive: true,
 		AdvertisedAddr: func(addr string) string {
 			if proxy == nil && err == nil {
-				proxy, err = NewProxy(addr)
+				proxy, err = NewProxy(addr, dep.links)
 			}
 			if err != nil {
 				return addr
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -56,6 +56,10 @@
 		undo = dep.injectRestore(rng)
 	case Evacuate:
 		undo = dep.injectEvacuation(rng)
+	case ServerRepeat:
+		undo = dep.injectRepeat(fault, rng)
+	case NodeStranded:
+		undo = dep.injectStranded(fault, rng)
 	case UploadBurst:
 		undo = dep.injectUploads()
 	case ServerUneven:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -73,6 +73,12 @@
 	// ServerUneven makes a third of the backend servers slower, and much slower while
 	// they get more than a few requests a second. It is drawn apart too.
 	ServerUneven
+	// ServerRepeat makes half of the backend servers refuse a part of their requests, and
+	// send a share of their responses twice. It is drawn apart too.
+	ServerRepeat
+	// NodeStranded cuts a node, or most nodes, off from all backend servers. It is drawn
+	// apart too.
+	NodeStranded
 	// NodeLateTerm stops a node whose process runs late when the signal arrives. It is
 	// never drawn.
 	NodeLateTerm
@@ -104,6 +110,10 @@
 		return "server_cold"
 	case ServerUneven:
 		return "server_uneven"
+	case ServerRepeat:
+		return "server_repeat"
+	case NodeStranded:
+		return "node_stranded"
 	case NodeLateTerm:
 		return "node_late_term"
 	case Evacuate:
@@ -230,6 +240,16 @@
 	return appendFaults(faults, rng, ServerUneven, rng.IntN(3), duration, maxDuration, maxDuration)
 }
 
+// AddRepeat adds servers that send responses twice to the faults of a seed: two to four,
+// none to planned maintenance.
+func AddRepeat(faults []Fault, seed uint64, duration time.Duration, planned bool) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	if planned {
+		return faults
+	}
+	return appendFaults(faults, rng, ServerRepeat, 2+rng.IntN(3), duration, maxDuration, maxDuration)
+}
+
 // appendFaults adds num faults of a kind that last at least shortest, and up to spread
 // longer.
 func appendFaults(faults []Fault, rng *rand.Rand, kind Kind, num int, duration, shortest, spread time.Duration) []Fault {
