--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -179,7 +179,7 @@
 // addNode starts an entry node on its own loopback address.
 func (dep *deployment) addNode(num int) error {
 	node := &Node{storeEndpoint: dep.store.NewEndpoint()}
-	proxy, err := NewProxy(node.storeEndpoint.Addr(), nil)
+	proxy, err := NewProxy(node.storeEndpoint.Addr())
 	if err != nil {
 		return err
 	}
@@ -213,7 +213,7 @@
 		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(), KeepAlive: true,
 		AdvertisedAddr: func(addr string) string {
 			if proxy == nil && err == nil {
-				proxy, err = NewProxy(addr, dep.links)
+				proxy, err = newNodeProxy(addr, dep.links)
 			}
 			if err != nil {
 				return addr
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -35,9 +35,12 @@
 	wg    sync.WaitGroup
 }
 
-// NewProxy starts a proxy that forwards to the address target until Close. Connections of
-// nodes get the faults of links, unless that is nil.
-func NewProxy(target string, links *nodeLinks) (*Proxy, error) {
+// NewProxy starts a proxy that forwards to the address target until Close.
+func NewProxy(target string) (*Proxy, error) { return newNodeProxy(target, nil) }
+
+// newNodeProxy starts a proxy as NewProxy does. Connections of nodes get the faults of
+// links, unless that is nil.
+func newNodeProxy(target string, links *nodeLinks) (*Proxy, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
