--- a/core/reach/doc.go
+++ b/core/reach/doc.go
@@ -3,7 +3,7 @@
 //
 // Failures of single servers are usual, and open connections may live on in a partition.
 // A Tracker therefore waits for a sign that something is wrong, and then relies on
-// probes: new connections to several servers at a time. Servers count as out of reach
+// probes: requests over new connections to several servers at a time. Servers count as out of reach
 // once all probes of two rounds have failed, and as within reach once half of a round has
 // succeeded.
 //
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -15,6 +15,7 @@
 	"kumquathinge/core/share"
 	"kumquathinge/core/site"
 	"kumquathinge/io/wire"
+	"kumquathinge/platform"
 )
 
 const (
@@ -23,6 +24,8 @@
 	// serviceSilenceTimeout is the time without data from any server of a service, while
 	// requests are open, after which its servers are probed.
 	serviceSilenceTimeout = 450 * time.Millisecond
+	// reachTimeout limits the wait for the response to a probe.
+	reachTimeout = 300 * time.Millisecond
 )
 
 // reachMonitor finds the services whose servers this node can't reach.
@@ -30,6 +33,7 @@
 	monitor *callMonitor
 	state   *sharedState
 	pools   *wire.Pools
+	servers *platform.Servers
 	log     *logrus.Logger
 	metrics *nodeMetrics
 	// lostServices holds the services whose servers are out of reach. It does not change
@@ -50,7 +54,7 @@
 }
 
 func newReachMonitor(monitor *callMonitor, pools *wire.Pools, log *logrus.Logger, meter *nodeMetrics) *reachMonitor {
-	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now(), due: make(chan struct{}, 1), unconfirmed: map[string][]sign{}}
+	mon := &reachMonitor{monitor: monitor, state: monitor.forwarder.state, pools: pools, servers: platform.NewServers(pools), log: log, metrics: meter, tracker: reach.NewTracker(), startedAt: time.Now(), due: make(chan struct{}, 1), unconfirmed: map[string][]sign{}}
 	mon.lostServices.Store(&[]string{})
 	return mon
 }
@@ -194,7 +198,7 @@
 	srvs := mon.serversOf(service)
 	rand.Shuffle(len(srvs), func(idx, other int) { srvs[idx], srvs[other] = srvs[other], srvs[idx] })
 	picked := srvs[:min(reach.ProbeCount, len(srvs))]
-	num := mon.connect(ctx, picked)
+	num := mon.ping(ctx, picked)
 	if ctx.Err() != nil {
 		return
 	}
@@ -226,15 +230,18 @@
 			mon.pools.Get(srv.Addr).Reset()
 		}
 	}
-	mon.log.WithFields(logrus.Fields{"event": "service_reach", "service": service, "lost": lost, "accepted": num, "probed": len(picked), "servers": len(srvs), "dropped": len(unconfirmed)}).Warn("the servers of a service are out of reach, or within reach again")
+	mon.log.WithFields(logrus.Fields{"event": "service_reach", "service": service, "lost": lost, "responded": num, "probed": len(picked), "servers": len(srvs), "dropped": len(unconfirmed)}).Warn("the servers of a service are out of reach, or within reach again")
 }
 
-// connect opens a connection to each of the servers. It returns how many have accepted one,
-// as soon as that is half of them.
-func (mon *reachMonitor) connect(ctx context.Context, srvs []*site.Server) int {
+// ping sends a request to each of the servers over a new connection. It returns how many have
+// responded, as soon as that is half of them. A connection alone shows little: what stands
+// between the node and the server may accept it.
+func (mon *reachMonitor) ping(ctx context.Context, srvs []*site.Server) int {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
 	results := make(chan bool, len(srvs))
 	for _, srv := range srvs {
-		go func() { results <- mon.pools.Get(srv.Addr).Connect(ctx) == nil }()
+		go func() { results <- mon.servers.Ping(ctx, srv) == nil }()
 	}
 	num := 0
 	for range srvs {
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -129,17 +129,6 @@
 	}
 }
 
-// Connect opens a connection and keeps it for a later request. It returns an error with
-// core.CodeDialFailed if that fails.
-func (pool *Pool) Connect(ctx context.Context) error {
-	conn, err := pool.dial(ctx)
-	if err != nil {
-		return err
-	}
-	pool.release(conn, func() bool { return true }, true)
-	return nil
-}
-
 // ResetOnTimeout calls Reset if err is a timeout: whatever broke one connection
 // has probably broken the others too.
 func (pool *Pool) ResetOnTimeout(err error) {
