--- a/entry/resumewait.go
+++ b/entry/resumewait.go
@@ -19,8 +19,8 @@
 )
 
 // awaitResume waits until a server has a place for a call whose stream has begun, or a peer
-// can take it, and reports whether there is one. A head that the call was sent to before counts again if its
-// group was formed anew since.
+// can take it, and reports whether there is one. A head that the call was sent to before
+// counts again if its group was formed anew since.
 func (fwd *forwarder) awaitResume(call *call, cause error) bool {
 	if call.response.Load() != responseBegun || call.possibleRuns.Load() == 0 || call.resumeWait >= maxResumeWait {
 		return false
