End a relayed stream that breaks off at its peer

The peer had used both when it broke off, and the node, which counted one, resumed the stream at a third server.

What a peer leaves unknown uses up the attempts of the request. The caller may resume the stream itself.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -232,7 +232,11 @@
 	if srv := tgt.server; srv != nil && (!errors.Is(cause, errColdLimit) || call.possibleRuns.Load() == 0) {
 		call.addTried(srv)
 	}
-	if out == outcomeUnknown {
+	switch {
+	case out == outcomeUnknown && tgt.server == nil:
+		// The peer may have used all attempts.
+		call.possibleRuns.Store(max(call.possibleRuns.Load()+1, int32(fwd.maxAttempts(call))))
+	case out == outcomeUnknown:
 		call.possibleRuns.Add(1)
 	}
 	now := time.Now()
--- a/entry/peerattempt.go
+++ b/entry/peerattempt.go
@@ -194,7 +194,7 @@
 // endedAtPeer reports whether a call whose attempt at a peer had the outcome is not sent to
 // another one: the peer refused it, or may have sent it to as many servers as allowed.
 func (call *call) endedAtPeer(out outcome) bool {
-	return call.refusedByPeer || out == outcomeUnknown && call.response.Load() != responseBegun
+	return call.refusedByPeer || out == outcomeUnknown
 }
 
 // relayRuns returns how many servers may have executed a relayed request.
--- a/entry/withoutservers_test.go
+++ b/entry/withoutservers_test.go
@@ -212,6 +212,11 @@
 		resp := rig.post(rig.nodes[0], fmt.Sprint("/read/", num), nil)
 		assert.Assert(t, runCount(rig.plainServers, resp.id) <= 2, "%d runs", runCount(rig.plainServers, resp.id))
 	}
+	setReplies(rig.engines, func(*http.Request, int) platfk.Response { return platfk.Response{CutAfter: 3} })
+	for num := range 5 {
+		resp := rig.post(rig.nodes[0], fmt.Sprint("/stream/", num), nil)
+		assert.Assert(t, runCount(rig.engines, resp.id) <= 2, "%d runs of a stream", runCount(rig.engines, resp.id))
+	}
 	setReplies(rig.plainServers, func(*http.Request, int) platfk.Response { return platfk.Response{} })
 	relay := &testNode{settings: rig.nodes[1].settings}
 	relay.settings.CallerAddr = net.JoinHostPort(relay.settings.IP, fmt.Sprint(relay.settings.RelayPort))
