Reject responses with an invalid field name

Callers got as an answer what a server in trouble had sent with a blank in or around the name of a field: status 200 with that line passed on ("Bad Name: x", "Transfer Encoding: gzip"), with the name taken for another one ("Content-Length : 3"), or, where it was the name of the length, with a body that went on with the bytes that came next on the connection.

Cause: io/wire left the header to the codec of fasthttp, which accepts blanks in a field name and between it and the colon, and joins a line that begins with a blank to the value before. RFC 9112, section 5, allows none of the first two and lets a gateway answer 502 to the third. Control bytes were rejected already.

io/wire now waits for the header of each response, interim ones included, and checks that each line begins with a token and a colon before the codec reads it. An invalid header ends the attempt like any other that can't be read (core.CodeCutAnswer): the outcome is unknown, a refusal in it is no promise. All requests to backend servers, relayed requests and calls to the store of both daemons go through this reader. Nothing changes in what nodes send. Names are checked by golang.org/x/net, which the build had through fasthttp's tests.

--- a/io/plain/plain_fuzz_test.go
+++ b/io/plain/plain_fuzz_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"gotest.tools/v3/assert"
 
 	"kumquathinge/core"
@@ -41,8 +42,8 @@
 }
 
 // FuzzCall lets a server respond with arbitrary bytes. A reply of Call must equal
-// what net/http reads from the same bytes, and only an error for a refusal that
-// the response states may say that the call did not run.
+// what net/http reads from the same bytes and have valid field names only, and only an
+// error for a refusal that the response states may say that the call did not run.
 func FuzzCall(f *testing.F) {
 	const echo = "X-Attempt-Id: a1\r\n"
 	for _, raw := range []string{
@@ -53,6 +54,8 @@
 		"HTTP/1.1 200 OK\r\n" + echo + "Content-Length: 2\r\nContent-Length: 1\r\n\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n" + echo + "\r\n",
 		"HTTP/1.1 200\n\n",
+		"HTTP/1.1 200 OK\r\n" + echo + "Bad Name: x\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\n" + echo + "Content-Length : 2\r\n\r\nok",
 	} {
 		f.Add([]byte(raw))
 	}
@@ -72,6 +75,9 @@
 		if err != nil {
 			return
 		}
+		for name := range res.Header {
+			assert.Assert(t, httpguts.ValidHeaderFieldName(name), "%q", name)
+		}
 		body, err := io.ReadAll(res.Body)
 		if err != nil || res.StatusCode < http.StatusOK {
 			return
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -2,7 +2,8 @@
 // backend server.
 //
 // It uses the request and response codecs of fasthttp but manages the
-// connections itself. A client that retries by itself, or that hides whether
+// connections itself, and rejects headers that the codec accepts although RFC 9112
+// does not allow them. A client that retries by itself, or that hides whether
 // any byte of a request was sent, cannot distinguish "not executed" from
 // "outcome unknown". A Pool sends each request at most once: it tries a second
 // connection only if the kernel accepted no byte of the request on the first.
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -102,7 +102,7 @@
 // to earlier requests.
 func (pool *Pool) readHeader(body *Body, ex Exchange) error {
 	for {
-		err := skipInterim(body.conn.reader)
+		err := awaitFinal(body.conn.reader)
 		if err == nil {
 			err = body.resp.ReadLimitBody(body.conn.reader, pool.cfg.MaxBody)
 		}
--- a/io/wire/status.go
+++ b/io/wire/status.go
@@ -34,21 +34,25 @@
 	return false
 }
 
-// skipInterim reads the interim responses before a final one. It returns an error if the
-// next response has no valid status code: the codec takes status 000 for 200.
-func skipInterim(reader *bufio.Reader) error {
+// awaitFinal reads the interim responses before a final one and waits for the header of
+// that one. It returns an error if a response has an invalid field name or no valid status
+// code: the codec takes status 000 for 200.
+func awaitFinal(reader *bufio.Reader) error {
 	for range maxInterim {
 		status, err := peekStatus(reader)
 		switch {
 		case err != nil:
 			return err
 		case status >= minFinalStatus && status <= maxFinalStatus:
-			return nil
+			return checkFieldNames(reader)
 		case status < fasthttp.StatusContinue || status >= minFinalStatus || status == fasthttp.StatusSwitchingProtocols:
 			return eris.Errorf("response with the invalid status code %03d", status)
 		}
 		var interim fasthttp.ResponseHeader
-		err = interim.Read(reader)
+		err = checkFieldNames(reader)
+		if err == nil {
+			err = interim.Read(reader)
+		}
 		if err != nil {
 			return err
 		}
