Read answers of the log service with io/wire

An answer of the log service with status 000 counted as one with status 200: an append that the service never confirmed counted as appended, and a page was used. So did answers with a blank in or around a field name.

Cause: io/logs had a client of its own, that of fasthttp, whose reader takes status 000 for 200 and accepts such names. Only io/wire checks both.

io/logs sends its calls through a pool of io/wire now. A header that can't be read ends a call like a cut answer: the outcome of an append is unknown, a read fails. As before, an append counts as refused only if no byte of it was sent or the service said so, no call is sent again, and an error closes the idle connections. A call that its context ends closes its connection now, instead of leaving it to a goroutine. The limit of 8 open connections, beyond which calls failed at once, is one of 8 idle connections.

--- a/io/logs/client.go
+++ b/io/logs/client.go
@@ -3,21 +3,21 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core"
+	"kumquathinge/io/wire"
 )
 
 const (
 	maxBodyBytes    = 64 << 20
-	maxConnsPerHost = 8
+	maxIdleConns    = 8
 	idleConnTimeout = 10 * time.Second
 	dialTimeout     = time.Second
 	defaultTimeout  = 5 * time.Second
@@ -25,8 +25,7 @@
 
 // Client is a client for one log service. It is safe for concurrent use.
 type Client struct {
-	baseURL    string
-	httpClient *fasthttp.Client
+	pool *wire.Pool
 }
 
 var _ core.Log = (*Client)(nil)
@@ -34,29 +33,11 @@
 // New returns a Client for the log service at the base URL, for example
 // "http://10.0.0.7:8080".
 func New(base string) *Client {
-	return &Client{baseURL: base, httpClient: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxConnsPerHost:           maxConnsPerHost,
-		MaxIdleConnDuration:       idleConnTimeout,
-		MaxResponseBodySize:       maxBodyBytes,
-		NoDefaultUserAgentHeader:  true,
-		Dial: func(addr string) (net.Conn, error) {
-			conn, err := fasthttp.DialTimeout(addr, dialTimeout)
-			if err != nil {
-				return nil, &dialError{err: err}
-			}
-			return conn, nil
-		},
-	}}
+	return &Client{pool: wire.New(strings.TrimPrefix(base, "http://"), wire.Config{
+		DialTimeout: dialTimeout, IdleTimeout: idleConnTimeout, MaxIdle: maxIdleConns, MaxBody: maxBodyBytes,
+	})}
 }
 
-// dialError is a failure to connect, after which nothing was sent.
-type dialError struct{ err error }
-
-func (dialErr *dialError) Error() string { return "dial: " + dialErr.err.Error() }
-func (dialErr *dialError) Unwrap() error { return dialErr.err }
-
 // responseBody is the body of every response of the log service.
 type responseBody struct {
 	Refused bool        `json:"refused"`
@@ -85,12 +66,12 @@
 	}
 	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI(client.appendURL(era, id))
+	req.SetRequestURI(appendURI(era, id))
 	req.Header.SetContentType("application/octet-stream")
 	req.SetBody(data)
 	status, body, err := client.do(ctx, req)
 	switch {
-	case notSent(err):
+	case core.CodeOf(err) == core.CodeDialFailed:
 		return 0, core.Errorf(core.CodeLogRefused, "append %s: %v", id, err)
 	case err != nil:
 		return 0, core.Errorf(core.CodeLogUnknown, "append %s: %v", id, err)
@@ -111,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+defaultTimeout)
 	defer cancel()
 	req := fasthttp.AcquireRequest()
-	req.SetRequestURI(client.readURL(from, limit, wait))
+	req.SetRequestURI(readURI(from, limit, wait))
 	status, body, err := client.do(ctx, req)
 	page := core.Page{First: body.First, Next: body.Next, Era: body.Era}
 	switch {
@@ -128,75 +109,53 @@
 	return page, nil
 }
 
-func (client *Client) appendURL(era core.Era, id core.RecordID) string {
+func appendURI(era core.Era, id core.RecordID) string {
 	query := url.Values{}
 	query.Set("id", string(id))
 	if era != 0 {
 		query.Set("era", strconv.FormatUint(uint64(era), 10))
 	}
-	return client.baseURL + "/v1/append?" + query.Encode()
+	return "/v1/append?" + query.Encode()
 }
 
-func (client *Client) readURL(from core.Offset, limit int, wait time.Duration) string {
+func readURI(from core.Offset, limit int, wait time.Duration) string {
 	query := url.Values{}
 	query.Set("from", strconv.FormatUint(uint64(from), 10))
 	query.Set("max", strconv.Itoa(limit))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	return client.baseURL + "/v1/read?" + query.Encode()
-}
-
-type result struct {
-	status int
-	body   responseBody
-	err    error
+	return "/v1/read?" + query.Encode()
 }
 
-// do sends req, which it takes over, and returns an error if ctx ends before the
-// response arrives. After an error it closes the idle connections, since they
-// may be unresponsive too.
+// do sends req, which it takes over, and decodes the response. It waits until the deadline
+// of ctx, or 5 seconds if ctx has none. After an error it closes the idle connections,
+// since they may be unresponsive too.
 func (client *Client) do(ctx context.Context, req *fasthttp.Request) (int, responseBody, error) {
-	done := make(chan result, 1)
-	deadline := deadlineOf(ctx)
-	go func() { done <- client.call(req, deadline) }()
-	var res result
-	select {
-	case res = <-done:
-	case <-ctx.Done():
-		res.err = eris.Wrap(ctx.Err(), "call the log service")
+	defer fasthttp.ReleaseRequest(req)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
 	}
-	if res.err != nil {
-		client.httpClient.CloseIdleConnections()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	resp, _, err := client.pool.Do(ctx, wire.Exchange{Req: req, IOTimeout: time.Until(deadline)})
+	var body responseBody
+	if err == nil {
+		body, err = decode(resp)
 	}
-	return res.status, res.body, res.err
-}
-
-// call sends req and decodes the response. A body that is not JSON is an error
-// only with status 200.
-func (client *Client) call(req *fasthttp.Request, deadline time.Time) result {
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	defer fasthttp.ReleaseRequest(req)
-	err := client.httpClient.DoDeadline(req, resp, deadline)
 	if err != nil {
-		return result{err: eris.Wrap(err, "call the log service")}
+		client.pool.Reset()
+		return 0, responseBody{}, eris.Wrap(err, "call the log service")
 	}
-	out := result{status: resp.StatusCode()}
-	err = json.Unmarshal(resp.Body(), &out.body)
-	if err != nil && out.status == fasthttp.StatusOK {
-		return result{err: eris.Wrap(err, "decode the response of the log service")}
-	}
-	return out
+	return resp.Status(), body, nil
 }
 
-func deadlineOf(ctx context.Context) time.Time {
-	if deadline, ok := ctx.Deadline(); ok {
-		return deadline
+// decode decodes the body of a response. One that is not JSON is an error only with
+// status 200.
+func decode(resp wire.Response) (responseBody, error) {
+	var body responseBody
+	err := json.Unmarshal(resp.Body(), &body)
+	if err != nil && resp.Status() == fasthttp.StatusOK {
+		return responseBody{}, err
 	}
-	return time.Now().Add(defaultTimeout)
-}
-
-// notSent reports whether the call failed before any byte was sent.
-func notSent(err error) bool {
-	var dialErr *dialError
-	return errors.As(err, &dialErr)
+	return body, nil
 }
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -83,3 +85,20 @@
 	}
 	return answers
 }
+
+// InvalidStatuses returns responses like that of ValidAnswer, each with a status that is
+// none of a final response (RFC 9110, section 15). The keys are the statuses.
+func InvalidStatuses(lines, body string) map[string]string {
+	answers := map[string]string{}
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "20", "2000", "-01", "abc"} {
+		answers[status] = strings.Replace(ValidAnswer(lines, body), "200", status, 1)
+	}
+	return answers
+}
+
+// InvalidHeaders returns the responses of InvalidFieldNames and of InvalidStatuses.
+func InvalidHeaders(lines, body string) map[string]string {
+	answers := InvalidFieldNames(lines, body)
+	maps.Copy(answers, InvalidStatuses(lines, body))
+	return answers
+}
