Read the list of VMs with io/wire

An answer with status 000, or with a blank in or around a field name, counted as the list of VMs: entry VMs would take the VMs in it for all there are.

Cause: as in io/logs, a client of its own, whose reader takes status 000 for 200 and accepts such names.

The lister sends its calls through a pool of io/wire now. It still sends each call once, waits as long as before and fails with core.CodeLogDown.

Evidence: TestInvalidHeaders failed before with status 000 and 11 forms of field names, and passes now, as do the tests of io/vms (three times with the race detector) and node.

--- a/io/vms/lister.go
+++ b/io/vms/lister.go
@@ -8,31 +8,26 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core"
+	"kumquathinge/io/wire"
 )
 
 const (
 	defaultTimeout = 2 * time.Second
 	maxListBytes   = 8 << 20
+
+	listPath = "/v1/vms"
 )
 
 // Lister reads the list of VMs from one server. It never retries a call.
 type Lister struct {
-	listURL string
-	client  *fasthttp.Client
+	pool *wire.Pool
 }
 
 var _ core.VMLister = (*Lister)(nil)
 
 // New returns a Lister for the server at addr, in the form host:port.
 func New(addr string) *Lister {
-	return &Lister{
-		listURL: "http://" + addr + "/v1/vms",
-		client: &fasthttp.Client{
-			MaxIdemponentCallAttempts: 1,
-			MaxResponseBodySize:       maxListBytes,
-			NoDefaultUserAgentHeader:  true,
-		},
-	}
+	return &Lister{pool: wire.New(addr, wire.Config{MaxBody: maxListBytes})}
 }
 
 type responseBody struct {
@@ -47,23 +42,23 @@
 	if !ok {
 		deadline = time.Now().Add(defaultTimeout)
 	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(lister.listURL)
-	err := lister.client.DoDeadline(req, resp, deadline)
+	req.SetRequestURI(listPath)
+	resp, _, err := lister.pool.Do(ctx, wire.Exchange{Req: req, IOTimeout: time.Until(deadline)})
 	if err != nil {
 		return nil, core.Errorf(core.CodeLogDown, "list of VMs: %v", err)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, core.Errorf(core.CodeLogDown, "list of VMs: HTTP status %d", resp.StatusCode())
+	if resp.Status() != fasthttp.StatusOK {
+		return nil, core.Errorf(core.CodeLogDown, "list of VMs: HTTP status %d", resp.Status())
 	}
 	return Decode(resp.Body())
 }
 
 // Close closes the idle connections.
-func (lister *Lister) Close() { lister.client.CloseIdleConnections() }
+func (lister *Lister) Close() { lister.pool.Reset() }
 
 // Decode decodes a list of VMs. It returns an error with core.CodeLogDown if the
 // list is malformed, or has a VM without name or address or two with one name.
