Read answers to kumctl with io/wire

kumctl took an answer with status 000, or with a blank in or around a field name, for the receipt of a change and for settings: exit code 0 for a change that no entry VM had confirmed.

Cause: as in io/logs, the client of fasthttp, whose reader takes status 000 for 200 and accepts such names.

The command line sends its requests through pools of io/wire now, with TLS as before. A change whose answer can't be read ends as "not known whether accepted" (exit code 30), a read as unreachable (10). The error type for a failed dial is gone: io/wire says whether any byte was sent.

Evidence: TestInvalidHeaders failed before with status 000 and 11 forms of field names, for changes and reads, and passes now; the golden files of the command line and the tests with TLS pass unchanged.

--- a/io/oper/opcli/client.go
+++ b/io/oper/opcli/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"time"
 
@@ -15,6 +14,7 @@
 	"kumquathinge/core"
 	"kumquathinge/io/certs"
 	"kumquathinge/io/oper"
+	"kumquathinge/io/wire"
 )
 
 const maxResponseBytes = 64 << 20
@@ -40,58 +40,25 @@
 	return &resultError{oper.Failure{Code: code, Error: fmt.Sprintf(format, args...)}}
 }
 
-// dialError is a failed connection attempt: no byte of the request was sent.
-type dialError struct {
-	err error
-}
-
-func (dialErr *dialError) Error() string { return dialErr.err.Error() }
-
-func (dialErr *dialError) Unwrap() error { return dialErr.err }
-
 // client sends requests to its servers in order until one returns a final
 // response.
 type client struct {
 	servers []string
 	key     string
 	timeout time.Duration
-	tls     *tls.Config
-	http    *fasthttp.Client
+	pools   *wire.Pools
 }
 
 func newClient(opts *globalFlags) (*client, error) {
-	cl := &client{servers: opts.Server, key: opts.Key, timeout: opts.Timeout}
+	wireCfg := wire.Config{DialTimeout: opts.Timeout, IOTimeout: opts.Timeout, MaxBody: maxResponseBytes}
 	if opts.TLS.enabled() {
-		cfg, err := certs.Load(certs.Files{Cert: opts.TLS.Cert, Key: opts.TLS.Key, CA: opts.TLS.CA}, time.Now())
+		tlsCfg, err := certs.Load(certs.Files{Cert: opts.TLS.Cert, Key: opts.TLS.Key, CA: opts.TLS.CA}, time.Now())
 		if err != nil {
 			return nil, err
 		}
-		cl.tls = cfg
-	}
-	cl.http = &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize:       maxResponseBytes,
-		Dial:                      cl.dial,
-	}
-	return cl, nil
-}
-
-// dial connects to addr, with TLS if certificates are given. Its error is a
-// *dialError.
-func (cl *client) dial(addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), cl.timeout)
-	defer cancel()
-	var dialer interface {
-		DialContext(ctx context.Context, network, addr string) (net.Conn, error)
-	} = &net.Dialer{}
-	if cl.tls != nil {
-		dialer = &tls.Dialer{Config: cl.tls}
+		wireCfg.Dial = (&tls.Dialer{Config: tlsCfg}).DialContext
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, &dialError{err: err}
-	}
-	return conn, nil
+	return &client{servers: opts.Server, key: opts.Key, timeout: opts.Timeout, pools: wire.NewPools(wireCfg)}, nil
 }
 
 // get decodes the response of the first server that is reachable and ready into
@@ -111,11 +78,10 @@
 }
 
 func (cl *client) getFrom(srv, path string, query url.Values, out any) error {
-	uri := "http://" + srv + path
 	if len(query) > 0 {
-		uri += "?" + query.Encode()
+		path += "?" + query.Encode()
 	}
-	err := cl.call(fasthttp.MethodGet, uri, nil, out)
+	err := cl.call(srv, fasthttp.MethodGet, path, nil, out)
 	if err != nil {
 		return wrapCallError(srv, err)
 	}
@@ -133,7 +99,7 @@
 	var lastErr error
 	var maybeAppended bool
 	for _, srv := range cl.servers {
-		err = cl.call(method, "http://"+srv+path, raw, out)
+		err = cl.call(srv, method, path, raw, out)
 		if err == nil {
 			return nil
 		}
@@ -166,13 +132,12 @@
 	return out
 }
 
-// call sends one request and decodes the response into out. Its error is a
-// *resultError if the server responded with a result code.
-func (cl *client) call(method, uri string, body []byte, out any) error {
+// call sends one request to the server and decodes the response into out. Its error is a
+// *resultError if the server responded with a result code, and has core.CodeDialFailed if
+// no byte of the request was sent.
+func (cl *client) call(srv, method, uri string, body []byte, out any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	res := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(res)
 	req.Header.SetMethod(method)
 	req.SetRequestURI(uri)
 	if cl.key != "" {
@@ -182,17 +147,19 @@
 		req.Header.SetContentType("application/json")
 		req.SetBody(body)
 	}
-	err := cl.http.DoTimeout(req, res, cl.timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cl.timeout)
+	defer cancel()
+	res, _, err := cl.pools.Get(srv).Do(ctx, wire.Exchange{Req: req})
 	if err != nil {
 		return err
 	}
-	if res.StatusCode() == fasthttp.StatusOK {
+	if res.Status() == fasthttp.StatusOK {
 		return json.Unmarshal(res.Body(), out)
 	}
 	var resErr resultError
 	err = json.Unmarshal(res.Body(), &resErr.Failure)
 	if err != nil || resErr.Code == core.CodeOK {
-		return fmt.Errorf("HTTP status %d without a result code", res.StatusCode())
+		return fmt.Errorf("HTTP status %d without a result code", res.Status())
 	}
 	return &resErr
 }
@@ -207,8 +174,7 @@
 // notAppended reports whether err guarantees that the server did not append the
 // change.
 func notAppended(err error) bool {
-	var dialErr *dialError
-	if errors.As(err, &dialErr) {
+	if core.CodeOf(err) == core.CodeDialFailed {
 		return true
 	}
 	var resErr *resultError
