Reject invalid answers of other entry VMs

A heartbeat, a state, a relayed log entry, the parts of a forwarded response and records of the store counted although the answer of the other entry VM had a blank in or after a field name.

Cause: io/peer and io/mirror read answers with net/http, which keeps such names as they are and accepts any status code of three digits.

Package io/strict wraps the transport of net/http: a response with an invalid status code or field name is an error, and its connection is closed. Calls fail like calls to an unreachable peer, a forwarded job has an unknown outcome. A line that begins with a blank joins the value before, as RFC 9112, section 5.2, allows; it can't be told from the parsed header. Invalid values and control bytes are rejected by net/http, and status 000 by connect-go, already; their tests stay. What nodes send does not change, so builds from before and after understand each other.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"kumquathinge/core/keyed"
 	"kumquathinge/core/site"
 	"kumquathinge/io/peer"
+	"kumquathinge/io/strict"
 )
 
 const procedure = "/kumquathinge.Mirror/Fetch"
@@ -89,7 +90,8 @@
 // NewClient returns a client that opens connections within dialTimeout.
 func NewClient(dialTimeout time.Duration) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Client{httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
+	transport := strict.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true})
+	return &Client{httpClient: &http.Client{Transport: transport}}
 }
 
 // Fetch requests a page from the node at addr, which has the form host:port.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 
 	"kumquathinge/core"
+	"kumquathinge/io/strict"
 )
 
 // headerCode is the header with the result code of a failed call.
@@ -62,7 +63,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
-	httpClient := &http.Client{Transport: transport}
+	httpClient := &http.Client{Transport: strict.NewTransport(transport)}
 	opts := []connect.ClientOption{
 		connect.WithCodec(codec{}),
 		connect.WithReadMaxBytes(maxMessageBytes),
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -1,11 +1,13 @@
 package stand
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 )
@@ -20,7 +22,8 @@
 	srv *http.Server
 }
 
-// StartRaw starts a Raw on a loopback port. It calls answer for each request.
+// StartRaw starts a Raw on a loopback port. It calls answer for each request, once the
+// body has arrived.
 func StartRaw(answer func(req *http.Request) string) (*Raw, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +31,11 @@
 	}
 	raw := &Raw{lis: lis}
 	raw.srv = &http.Server{ReadHeaderTimeout: rawHeaderTimeout, Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		_, _ = io.Copy(io.Discard, req.Body)
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
 		conn, _, err := http.NewResponseController(rw).Hijack()
 		if err != nil {
 			return
@@ -46,6 +53,20 @@
 // Close stops the server.
 func (raw *Raw) Close() error { return raw.srv.Close() }
 
+// StartProxy starts a Raw that answers each request with what edit returns for the header
+// lines and the body of the handler's response. The lines hold no length.
+func StartProxy(handler http.Handler, edit func(lines, body string) string) (*Raw, error) {
+	return StartRaw(func(req *http.Request) string {
+		rec := httptest.NewRecorder()
+		handler.ServeHTTP(rec, req)
+		header := rec.Result().Header
+		header.Del("Content-Length")
+		var lines strings.Builder
+		_ = header.Write(&lines)
+		return edit(lines.String(), rec.Body.String())
+	})
+}
+
 // ValidAnswer returns a response with status 200, the header lines, each of which ends
 // with a line break, and the body.
 func ValidAnswer(lines, body string) string {
