Count invalid responses as incomplete in cmd/exper

A run of exper load counted a completion with status 000 or with a blank in or around a field name as complete, and one with status 001, 099, 101, 600 or 999 as refused.

Cause: its client, that of fasthttp, takes status 000 for 200 and accepts such names and any status of three digits. Requests go through a pool of io/wire now.

Evidence: TestInvalidHeaders failed before for 5 statuses and 12 forms of field names, and passes now, as do the other tests of the package.

--- a/cmd/exper/press/press.go
+++ b/cmd/exper/press/press.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquathinge/core"
+	"kumquathinge/io/wire"
 )
 
 // Config configures a run. Rate, Duration, MaxInFlight and Timeout must be
@@ -58,8 +59,8 @@
 	if !(cfg.Rate > 0) || cfg.Duration <= 0 || cfg.MaxInFlight <= 0 || cfg.Timeout <= 0 {
 		panic("press: config out of range")
 	}
-	cli := newClient(cfg)
-	defer cli.CloseIdleConnections()
+	pool := wire.New(cfg.Target.Addr(), wire.Config{IOTimeout: cfg.Timeout, MaxIdle: cfg.MaxInFlight})
+	defer pool.Close()
 	rep := &Report{
 		FirstToken: hdrhistogram.New(1, maxLatencyMicros, significantDigits),
 		InterToken: hdrhistogram.New(1, maxLatencyMicros, significantDigits),
@@ -70,7 +71,7 @@
 	begin := time.Now()
 	go func() {
 		defer close(outcomes)
-		rep.Skipped = sendAll(ctx, cfg, cli, slots, outcomes)
+		rep.Skipped = sendAll(ctx, cfg, pool, slots, outcomes)
 	}()
 	for out := range outcomes {
 		rep.add(out)
@@ -79,20 +80,9 @@
 	return rep
 }
 
-func newClient(cfg Config) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:                      cfg.Target.Addr(),
-		MaxConns:                  cfg.MaxInFlight,
-		ReadTimeout:               cfg.Timeout,
-		WriteTimeout:              cfg.Timeout,
-		StreamResponseBody:        true,
-		MaxIdemponentCallAttempts: 1,
-	}
-}
-
 // sendAll starts the requests at their scheduled times. It returns the number of
 // skipped requests after all others have ended.
-func sendAll(ctx context.Context, cfg Config, cli *fasthttp.HostClient, slots chan struct{}, out chan<- outcome) int {
+func sendAll(ctx context.Context, cfg Config, pool *wire.Pool, slots chan struct{}, out chan<- outcome) int {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	interval := time.Duration(float64(time.Second) / cfg.Rate)
@@ -111,7 +101,7 @@
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			out <- sendRequest(cli, cfg.Target, seq, scheduledAt)
+			out <- sendRequest(pool, cfg.Target, seq, scheduledAt)
 		})
 	}
 }
@@ -132,20 +122,21 @@
 }
 
 // sendRequest sends one request and reads the response.
-func sendRequest(cli *fasthttp.HostClient, tgt Target, seq int, scheduledAt time.Time) outcome {
+func sendRequest(pool *wire.Pool, tgt Target, seq int, scheduledAt time.Time) outcome {
 	out := outcome{scheduledAt: scheduledAt}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	tgt.FillRequest(req, seq)
-	if err := cli.Do(req, resp); err != nil {
+	body, err := pool.Open(context.Background(), wire.Exchange{Req: req, AllowCloseDelimited: true})
+	if err != nil {
 		return out
 	}
-	out.status = resp.StatusCode()
+	defer func() { _ = body.Close() }()
+	out.status = body.Status()
 	if out.status != fasthttp.StatusOK {
 		return out
 	}
-	scanner := bufio.NewScanner(resp.BodyStream())
+	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
 		switch tgt.ClassifyLine(scanner.Bytes()) {
