Reject invalid responses in cmd/demo

The checks of make demo read responses with net/http, which accepts blanks in field names and status 000: a response that is none could pass. They use the transport of io/strict now.

TestTransport of io/strict shows the rejection; the command has no tests of its own.

--- a/cmd/demo/check.go
+++ b/cmd/demo/check.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"kumquathinge/io/front"
+	"kumquathinge/io/strict"
 	"kumquathinge/stand"
 )
 
@@ -32,7 +33,7 @@
 
 // newChecker returns a checker with a single HTTP client.
 func newChecker(opt options) *checker {
-	return &checker{opt: opt, cli: &http.Client{Timeout: opt.Timeout}}
+	return &checker{opt: opt, cli: &http.Client{Timeout: opt.Timeout, Transport: strict.NewTransport(&http.Transport{})}}
 }
 
 // checks returns the checks in the order in which they run.
