Play servers with invalid headers in the soak

The soak's servers sent bytes that are no answer in four forms, none of them a header that names the request and is invalid, and its callers did not look at field names: it could not see that such answers were passed on.

Garbled responses are now also ones with an invalid field name or status, half of which state that the request was not executed, and an invalid field name in a response to a caller is a violation. TestInvalidAnswers plays eight such faults for 6 s.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"kumquathinge/platform"
 )
 
@@ -46,7 +48,9 @@
 	openedAt, sentAt, endedAt time.Time
 	status                    int
 	responseStamp             string
-	body                      string
+	// invalidField is an invalid field name of the response, empty if there is none.
+	invalidField string
+	body         string
 	// cancelled is set if the client planned to cancel the request early,
 	// complete if the response body ended without an error, connected if the
 	// node accepted the connection, kept if the connection carried a request before.
@@ -255,6 +259,11 @@
 	raw, err := io.ReadAll(resp.Body)
 	err = errors.Join(err, resp.Body.Close())
 	call.status, call.responseStamp, call.body, call.complete, call.err = resp.StatusCode, resp.Header.Get(platform.HeaderResponseStamp), string(raw), err == nil, err
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			call.invalidField = name
+		}
+	}
 	if got := resp.Header.Get(platform.HeaderAttemptID); got != call.id {
 		call.err = fmt.Errorf("response carries attempt ID %q", got)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -92,9 +92,13 @@
 	return sb.String()
 }
 
-// checkResponse checks that a 2xx response comes from a backend server and holds
-// the bytes of its response to this call, all of them if it ended without an error.
+// checkResponse checks that the field names of a response are valid, and that a 2xx response
+// comes from a backend server and holds the bytes of its response to this call, all of them
+// if it ended without an error.
 func (dep *deployment) checkResponse(call *callRecord, addf func(string, ...any)) {
+	if call.invalidField != "" {
+		addf("response with the invalid field name %q: %v", call.invalidField, call)
+	}
 	if call.status/100 != 2 {
 		return
 	}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -141,6 +141,20 @@
 	run(t, soak.Options{Program: buildProgram(t), Seed: 108, Duration: 7 * time.Second, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
 }
 
+// TestInvalidAnswers sends requests to servers whose responses have an invalid header, or are
+// otherwise none. It guards against such a response that a caller gets, and against a refusal
+// in one that counts for a request that runs.
+func TestInvalidAnswers(t *testing.T) {
+	t.Parallel()
+	prof := soak.ShortProfile()
+	prof.Routes[1].Weight, prof.ClientsPerNode = 3, 12
+	var faults []soak.Fault
+	for seed := range uint64(8) {
+		faults = append(faults, soak.Fault{Kind: soak.ServerGarble, StartsAfter: 500 * time.Millisecond, Duration: 6 * time.Second, TargetSeed: seed, Share: 0.4})
+	}
+	run(t, soak.Options{Program: buildProgram(t), Seed: 109, Duration: 7 * time.Second, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
+}
+
 // TestStrandedNodes cuts nodes off from all backend servers in each form. It guards against
 // callers of such nodes who are served far worse than those of the others.
 func TestStrandedNodes(t *testing.T) {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"kumquathinge/platform"
 	"kumquathinge/platform/platfk"
+	"kumquathinge/stand"
 )
 
 const (
@@ -200,7 +203,7 @@
 	case ServerStall:
 		resp.StallAfter = 3
 	case ServerGarble:
-		resp = garbledResponse(resp, req.Header.Get(platform.HeaderModel) != "")
+		resp = garbledResponse(resp, req)
 	}
 	return resp
 }
@@ -208,20 +211,33 @@
 // garbledResponse returns a response whose bytes are no answer to its request. Only
 // streams go on without end: what is no stream is passed on as it comes, to clients that
 // run in this process and hold it.
-func garbledResponse(resp platfk.Response, stream bool) platfk.Response {
-	switch draw := rand.IntN(4); {
-	case draw == 0 && stream:
+func garbledResponse(resp platfk.Response, req *http.Request) platfk.Response {
+	switch draw := rand.IntN(6); {
+	case draw == 0 && req.Header.Get(platform.HeaderModel) != "":
 		resp.EndlessBody, resp.Delay = true, max(resp.Delay, endlessInterval)
 	case draw <= 1:
 		resp.EndlessHead, resp.Delay = true, max(resp.Delay, endlessInterval)
 	case draw == 2:
 		resp.LoseAfter, resp.LoseByReset = 1+rand.IntN(400), rand.IntN(2) == 0
+	case draw <= 4:
+		resp.Preamble = invalidAnswer(req)
 	default:
 		resp.Preamble = fmt.Sprintf("HTTP/1.1 200 X\r\n%s: %016x\r\n%s: stamp-x\r\nContent-Length: 1\r\n\r\nx", platform.HeaderAttemptID, rand.Uint64(), platform.HeaderResponseStamp)
 	}
 	return resp
 }
 
+// invalidAnswer returns a response that names the request, and sometimes states that it was
+// not executed, and whose header is invalid.
+func invalidAnswer(req *http.Request) string {
+	lines := fmt.Sprintf("%s: %s\r\n%s: stamp-x\r\n", platform.HeaderAttemptID, req.Header.Get(platform.HeaderAttemptID), platform.HeaderResponseStamp)
+	if rand.IntN(2) == 0 {
+		lines += platform.HeaderNotExecuted + ": 1\r\n"
+	}
+	answers := slices.Collect(maps.Values(stand.InvalidHeaders(lines, "x")))
+	return answers[rand.IntN(len(answers))]
+}
+
 // connFaults maps the kinds of connection faults to those of the proxy.
 var connFaults = map[Kind]ConnFault{LinkDelay: {Delay: slowLinkDelay}, LinkOut: {DropUpstream: true}, LinkIn: {DropDownstream: true}}
 
