--- a/entry/fieldname_test.go
+++ b/entry/fieldname_test.go
@@ -42,3 +42,22 @@
 		})
 	}
 }
+
+// TestTrailerFields guards against fields after the body of an answer, valid or not, that
+// callers get with it.
+func TestTrailerFields(t *testing.T) {
+	rig := newTestCluster(t, 1, 2)
+	rig.waitReady()
+	for _, line := range []string{"Good: x", "Bad Name: x", "Badname : x", platform.HeaderNotExecuted + ": 1", "Retry-After: 9"} {
+		setReplies(rig.plainServers, func(req *http.Request, _ int) platfk.Response {
+			return platfk.Response{Preamble: fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n%s\r\n\r\n",
+				platform.HeaderAttemptID, req.Header.Get(platform.HeaderAttemptID), platform.HeaderResponseStamp, line)}
+		})
+		resp := rig.post(rig.nodes[0], "/read/x", nil)
+		assert.NilError(t, resp.err)
+		assert.Assert(t, resp.status == http.StatusOK && resp.body == "body" || resp.status == http.StatusBadGateway, "%s: status %d", line, resp.status)
+		for name := range resp.header {
+			assert.Assert(t, !strings.HasPrefix(line, name), "%s: %q", line, name)
+		}
+	}
+}
