--- a/io/mirror/header_test.go
+++ b/io/mirror/header_test.go
@@ -23,7 +23,7 @@
 // an invalid header that counts as records of the store.
 func TestInvalidHeaders(t *testing.T) {
 	fetch := func(edit func(lines, body string) string) (keyed.Page, error) {
-		srv, err := stand.StartProxy(mirror.Handler(recordSource{}), edit)
+		srv, err := stand.StartEdited(mirror.Handler(recordSource{}), edit)
 		assert.NilError(t, err)
 		defer srv.Close()
 		return mirror.NewClient(time.Second).Fetch(t.Context(), srv.Addr(), mirror.FetchRequest{Topic: "x"})
--- a/io/peer/header_test.go
+++ b/io/peer/header_test.go
@@ -17,7 +17,7 @@
 func TestInvalidHeaders(t *testing.T) {
 	backend := &fakeBackend{run: func(_ context.Context, sink core.Sink) error { return sink.WritePart(core.Part{End: true}) }}
 	requireCodes := func(edit func(lines, body string) string, unary, forward core.Code, what string) {
-		srv, err := stand.StartProxy(peer.Handler(backend, time.Minute), edit)
+		srv, err := stand.StartEdited(peer.Handler(backend, time.Minute), edit)
 		assert.NilError(t, err)
 		defer srv.Close()
 		client := peer.New("http://"+srv.Addr(), peer.Config{DialTimeout: time.Second, CallTimeout: time.Minute, StreamIdleTimeout: time.Minute})
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -53,9 +53,9 @@
 // Close stops the server.
 func (raw *Raw) Close() error { return raw.srv.Close() }
 
-// StartProxy starts a Raw that answers each request with what edit returns for the header
-// lines and the body of the handler's response. The lines hold no length.
-func StartProxy(handler http.Handler, edit func(lines, body string) string) (*Raw, error) {
+// StartEdited starts a Raw that answers each request with the edited response of a handler:
+// edit gets its header lines, without a length, and its body.
+func StartEdited(handler http.Handler, edit func(lines, body string) string) (*Raw, error) {
 	return StartRaw(func(req *http.Request) string {
 		rec := httptest.NewRecorder()
 		handler.ServeHTTP(rec, req)
