Reject invalid responses in the callers of node/nodets

The callers and operators of the tests of kumquathinged read responses with net/http, so an invalid header that an entry VM sent would not have failed a test. They use the transport of io/strict now. The tests of node pass.

--- a/node/nodets/call.go
+++ b/node/nodets/call.go
@@ -12,13 +12,14 @@
 
 	"kumquathinge/core"
 	"kumquathinge/io/front"
+	"kumquathinge/io/strict"
 )
 
 // client does not reuse connections, so that a call to a stopped entry VM
 // fails.
 var client = &http.Client{
 	Timeout:   awaitTimeout,
-	Transport: &http.Transport{DisableKeepAlives: true},
+	Transport: strict.NewTransport(&http.Transport{DisableKeepAlives: true}),
 }
 
 // Response is what a caller received. Complete is set if the response had its
--- a/node/nodets/operator.go
+++ b/node/nodets/operator.go
@@ -13,6 +13,7 @@
 
 	"kumquathinge/core/tree"
 	"kumquathinge/io/oper"
+	"kumquathinge/io/strict"
 )
 
 // operatorClient calls the operators' interface of entry VMs.
@@ -33,7 +34,7 @@
 	tlsCfg, err := sys.config.TLS.Load(time.Now())
 	assert.NilError(sys.tb, err)
 	if tlsCfg != nil {
-		transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: tlsCfg}
+		transport := strict.NewTransport(&http.Transport{DisableKeepAlives: true, TLSClientConfig: tlsCfg})
 		operator.client = &http.Client{Timeout: awaitTimeout, Transport: transport}
 		operator.scheme = "https://"
 	}
