--- a/io/wire/field.go
+++ b/io/wire/field.go
@@ -35,7 +35,7 @@
 		case len(line) == 0:
 			return nil
 		case !validField(line):
-			return eris.Errorf("response with the invalid header line %q", line)
+			return eris.Errorf("response with the invalid header line %.80q", line)
 		}
 	}
 }
