Let the stand-in with raw answers announce that it closes

Cause: the stand-in closes its connection after each answer, but a valid answer did not say so. The client kept the connection, and sent the next call on it while the close was under way. The answers state it now.

--- a/stand/raw.go
+++ b/stand/raw.go
@@ -70,7 +70,7 @@
 // ValidAnswer returns a response with status 200, the header lines, each of which ends
 // with a line break, and the body.
 func ValidAnswer(lines, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", lines, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", lines, len(body), body)
 }
 
 // InvalidFieldNames returns responses like that of ValidAnswer, each with a field name
@@ -102,7 +102,7 @@
 		answers[what] = ValidAnswer(lines+line+"\r\n", body)
 	}
 	for what, name := range map[string]string{"length, inner blank": "Content -Length", "length, trailing blank": "Content-Length "} {
-		answers[what] = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: %d\r\n\r\n%s", lines, name, len(body), body)
+		answers[what] = strings.Replace(ValidAnswer(lines, body), "Content-Length", name, 1)
 	}
 	return answers
 }
