Give each run of the soak a subnet of its own

Cause: both tests have the seed 109, the subnet of a run was its seed modulo 250, and they ran at the same time on the same addresses. A fresh seed could meet one of the others in the same way.

A run now reserves its subnet until its test ends: that of its seed, or the next that is free. TestInvalidAnswers takes the seed 110.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -152,7 +152,7 @@
 	for seed := range uint64(8) {
 		faults = append(faults, soak.Fault{Kind: soak.ServerGarble, StartsAfter: 500 * time.Millisecond, Duration: 6 * time.Second, TargetSeed: seed, Share: 0.4})
 	}
-	run(t, soak.Options{Program: buildProgram(t), Seed: 109, Duration: 7 * time.Second, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
+	run(t, soak.Options{Program: buildProgram(t), Seed: 110, Duration: 7 * time.Second, Nodes: 2, Groups: 2, Profile: prof, Faults: faults})
 }
 
 // TestStrandedNodes cuts nodes off from all backend servers in each form. It guards against
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -112,14 +113,31 @@
 	run(t, soak.Options{Program: binary, Seed: seed, Duration: length, Nodes: *nodes, Groups: *groups, Profile: prof, Garble: later, Evacuate: later, Cold: later, Uneven: later, Repeat: later, Stranded: *stranded})
 }
 
+// subnets has the number of each subnet that a run uses.
+var subnets sync.Map
+
+// reserveSubnet returns a subnet for a run, that of the seed if it is free. Runs at the same
+// time share the loopback network, so that each needs its own subnet until its test ends.
+func reserveSubnet(t *testing.T, seed uint64) string {
+	t.Helper()
+	for num := seed % maxSubnets; ; num = (num + 1) % maxSubnets {
+		_, used := subnets.LoadOrStore(num, true)
+		if !used {
+			t.Cleanup(func() { subnets.Delete(num) })
+			return fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, num)
+		}
+	}
+}
+
+// maxSubnets is the number of subnets for runs at the same time.
+const maxSubnets = 250
+
 // run runs the deployment of the options, reports each violation as a test error and returns
 // the report.
 func run(t *testing.T, opts soak.Options) soak.Report {
 	t.Helper()
 	seed := opts.Seed
-	// Test runs at the same time share the loopback network, so that each
-	// needs its own subnet.
-	opts.Subnet = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, seed%250)
+	opts.Subnet = reserveSubnet(t, seed)
 	opts.Dir, opts.Plain = t.TempDir(), max(3, opts.Nodes/4)
 	report, err := soak.Run(opts)
 	assert.NilError(t, err)
