--- /dev/null
+++ b/review/standin/part.go
@@ -0,0 +1,213 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"kumquathinge/platform"
+)
+
+const (
+	partInterval = 2 * time.Second
+	partCount    = 16
+	deadlyPart   = "dead0b5f"
+	sharedPart   = "5c1e07a2"
+	streamPath   = "/drafts/card"
+	streamEvents = 20
+	eventPause   = 40 * time.Millisecond
+	// partCrashes is the number of crashes after which the requests have to be kept away.
+	partCrashes = 5
+	// maxLateParts is how many may reach servers later than stableWindowMs after them.
+	maxLateParts = 3
+)
+
+// writeModelConfig writes a configuration with one service of model servers.
+func (dep *deployment) writeModelConfig(version int) error {
+	raw, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "drafts", "host": host, "pathPrefix": "/drafts/", "kind": "streaming", "service": modelService, "timeoutMs": 6000, "targetLatencyMs": 250,
+			"maxAttempts": 2, "priority": 1, "public": false, "sticky": true, "resumable": true, "gapTargetMs": 200,
+		}},
+		"services": []map[string]any{{"name": modelService, "healthPath": "/health", "maxConns": 464, "engine": map[string]any{
+			"slots": engineSlots, "kvCapacityTokens": 2470000, "stride": 6, "step_ms": 6.45, "per_seq_ms": 0.0967, "context_per_k": 0.00293, "read_per_s": 56100.0,
+			"report_lag_ms": 200.0, "loadsPerS": 5.5, "loads_at_once": 8, "keeps": 1, "formMs": formTime.Milliseconds(), "usual": map[string]any{"prompt": 1115, "answer": 120},
+			"models": []map[string]any{{"name": modelName, "size": modelSize, "share": 1.0, "pace": 1.0, "loadS": loadTime.Seconds(), "warmS": warmTime.Seconds()}},
+		}}},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{{"name": tenant, "apiKeys": []string{apiKey}}},
+	})
+	if err != nil {
+		return err
+	}
+	dep.store.Append(platform.TopicOperator, platform.KeyConfig, raw)
+	return nil
+}
+
+// callStream sends one request for a stream and returns the status and the number of events
+// of its answer. whole is set if the answer ended as complete.
+func callStream(nd *node, attempt, prefix string) (status, events int, whole bool) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+nd.addr()+streamPath, strings.NewReader("prompt of "+attempt))
+	if err != nil {
+		return 0, 0, false
+	}
+	req.Host = host
+	for name, val := range map[string]string{
+		platform.HeaderAttemptID: attempt, platform.HeaderDeadline: "6000", platform.HeaderAPIKey: apiKey, platform.HeaderModel: modelName,
+		platform.HeaderTokenCounts: "700,120", platform.HeaderPromptParts: prefix,
+	} {
+		req.Header.Set(name, val)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "id:") {
+			events++
+		}
+	}
+	return resp.StatusCode, events, lines.Err() == nil
+}
+
+// playCrashingPart sends requests with a part of a prompt on which servers crash once they
+// have written the first event of the answer.
+func playCrashingPart(rec *record, opt options) (bool, error) {
+	dep, err := newDeployment(rec, "127.61.10", opt.program, 4)
+	if err != nil {
+		return false, err
+	}
+	defer dep.close(opt.keep)
+	if err := dep.writeModelConfig(100); err != nil {
+		return false, err
+	}
+	log := &partLog{rec: rec, sentAt: map[string]time.Time{}}
+	respond := func(req *http.Request) plan {
+		what := plan{events: streamEvents, pause: eventPause, crashAfter: -1}
+		if opt.trouble && strings.Contains(req.Header.Get(platform.HeaderPromptParts), deadlyPart) {
+			what.crashAfter, what.crashDelay = opt.events, 60*time.Millisecond
+		}
+		return what
+	}
+	flt, err := startFleet(dep, 2, 6, 3*time.Second, respond, log.arrived)
+	if err != nil {
+		return false, err
+	}
+	defer flt.close()
+	if err := dep.start(); err != nil {
+		return false, err
+	}
+	for begin := time.Now(); flt.serving() < 4; time.Sleep(100 * time.Millisecond) {
+		if time.Since(begin) > 30*time.Second {
+			return false, fmt.Errorf("only %d groups serve", flt.serving())
+		}
+	}
+	rec.printf("%d groups serve", flt.serving())
+	stop := make(chan struct{})
+	counts := &soundCounts{}
+	var sound sync.WaitGroup
+	sound.Go(func() { sendSoundStreams(dep, stop, counts) })
+	time.Sleep(2 * time.Second)
+	var calls sync.WaitGroup
+	for num := range partCount {
+		nd, attempt := dep.nodes[num%len(dep.nodes)], nextAttempt()
+		log.sent(attempt)
+		rec.printf("request %s with part %s sent to %s", attempt, deadlyPart, nd.name)
+		calls.Go(func() {
+			status, events, whole := callStream(nd, attempt, fmt.Sprintf("%s:40,%s:60,%s:600", sharedPart, deadlyPart, attempt[8:]))
+			rec.printf("request %s answered %d with %d events, complete: %v", attempt, status, events, whole)
+		})
+		time.Sleep(partInterval)
+	}
+	calls.Wait()
+	close(stop)
+	sound.Wait()
+	rec.printf("sound requests: %d sent, %d served whole, %d refused, %d broken off or failed", counts.sent, counts.served, counts.refused, counts.lost)
+	return log.judge(opt.trouble), nil
+}
+
+// sendSoundStreams sends sound requests that share the first part until stop is closed.
+func sendSoundStreams(dep *deployment, stop chan struct{}, counts *soundCounts) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for num := 0; ; num++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		nd, attempt := dep.nodes[num%len(dep.nodes)], nextAttempt()
+		calls.Go(func() {
+			status, events, whole := callStream(nd, attempt, fmt.Sprintf("%s:40,%s:600", sharedPart, attempt[8:]))
+			counts.mu.Lock()
+			defer counts.mu.Unlock()
+			counts.sent++
+			switch {
+			case status == http.StatusOK && whole && events == streamEvents:
+				counts.served++
+			case status == http.StatusServiceUnavailable:
+				counts.refused++
+			default:
+				counts.lost++
+				dep.rec.printf("sound request %s: status %d, %d events, complete: %v", attempt, status, events, whole)
+			}
+		})
+	}
+}
+
+// partLog follows the requests with the part.
+type partLog struct {
+	rec     *record
+	mu      sync.Mutex
+	sentAt  map[string]time.Time
+	reached []string
+	fifthAt time.Time
+}
+
+func (log *partLog) sent(attempt string) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.sentAt[attempt] = time.Now()
+}
+
+func (log *partLog) arrived(eng *engine, req *http.Request) {
+	if !strings.Contains(req.Header.Get(platform.HeaderPromptParts), deadlyPart) {
+		return
+	}
+	attempt := req.Header.Get(platform.HeaderAttemptID)
+	log.rec.printf("request %s with the part reaches model server %s, which runs it", attempt, eng.id())
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.reached = append(log.reached, attempt)
+	if len(log.reached) == partCrashes {
+		log.fifthAt = time.Now().Add(eventPause + 60*time.Millisecond)
+	}
+}
+
+func (log *partLog) judge(trouble bool) bool {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if !trouble || log.fifthAt.IsZero() {
+		log.rec.printf("requests with the part reached servers %d times and crashed none, or fewer than five", len(log.reached))
+		return false
+	}
+	late := map[string]bool{}
+	for _, attempt := range log.reached {
+		if log.sentAt[attempt].After(log.fifthAt.Add(touchTime)) {
+			late[attempt] = true
+		}
+	}
+	log.rec.printf("requests with the part reached servers %d times; %d requests sent later than %v after the fifth crash reached servers, %d are allowed", len(log.reached), len(late), touchTime, maxLateParts)
+	return len(late) > maxLateParts
+}
