Review case 8: a deadly part after 32 others makes nodes refuse sound requests

Cause: only 32 parts of a prompt are decoded, so the parts before take the blame and are put in quarantine.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
   echo "run the build of the deploy file and review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review-standin -case crashing-request -program target/kumentry -record "${RECORD:-review/8/record.txt}" -trouble=$trouble
+exec target/review-standin -case late-part -program target/kumentry -record "${RECORD:-review/8/record.txt}" -trouble=$trouble
--- a/review/standin/crashing.go
+++ b/review/standin/crashing.go
@@ -80,6 +80,8 @@
 type soundCounts struct {
 	mu                          sync.Mutex
 	sent, served, refused, lost int
+	// calls are the sound requests for streams.
+	calls []soundCall
 }
 
 // sendSound sends sound requests to the nodes in turn until stop is closed.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"open":             playOpen,
 	"idle-users":       playIdleUsers,
 	"crashing-part":    playCrashingPart,
+	"late-part":        playLatePart,
 }
 
 func main() {
--- a/review/standin/part.go
+++ b/review/standin/part.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -82,7 +83,45 @@
 // playCrashingPart sends requests with a part of a prompt on which servers crash once they
 // have written the first event of the answer.
 func playCrashingPart(rec *record, opt options) (bool, error) {
-	dep, err := newDeployment(rec, "127.61.10", opt.program, 4)
+	return playDeadlyPart(rec, opt, deadlyPlay{subnet: "127.61.10", common: []string{sharedPart + ":40"}, events: opt.events})
+}
+
+// turns is the number of parts of a long conversation before the deadly one.
+const turns = 33
+
+// playLatePart sends requests with a part on which servers crash before the first event. It
+// comes late in the prompt, which is a long conversation.
+func playLatePart(rec *record, opt options) (bool, error) {
+	var common []string
+	for num := range turns {
+		common = append(common, fmt.Sprintf("7a%06x:20", num))
+	}
+	return playDeadlyPart(rec, opt, deadlyPlay{subnet: "127.61.12", common: common, soundRule: true})
+}
+
+// deadlyPlay is what the requests with the deadly part are like. common are the parts that
+// they share with sound requests, events is the number of events before a crash.
+type deadlyPlay struct {
+	subnet string
+	common []string
+	events int
+	// soundRule is set if the rule on sound requests is judged, not that on those with the
+	// part.
+	soundRule bool
+}
+
+// prefix returns the parts of a request's prompt.
+func (dpl deadlyPlay) prefix(attempt string, deadly bool) string {
+	parts := slices.Clone(dpl.common)
+	if deadly {
+		parts = append(parts, deadlyPart+":60")
+	}
+	return strings.Join(append(parts, attempt[8:]+":600"), ",")
+}
+
+// playDeadlyPart sends requests with the deadly part beside sound ones.
+func playDeadlyPart(rec *record, opt options, dpl deadlyPlay) (bool, error) {
+	dep, err := newDeployment(rec, dpl.subnet, opt.program, 4)
 	if err != nil {
 		return false, err
 	}
@@ -94,7 +133,7 @@
 	respond := func(req *http.Request) plan {
 		what := plan{events: streamEvents, pause: eventPause, crashAfter: -1}
 		if opt.trouble && strings.Contains(req.Header.Get(platform.HeaderPromptParts), deadlyPart) {
-			what.crashAfter, what.crashDelay = opt.events, 60*time.Millisecond
+			what.crashAfter, what.crashDelay = dpl.events, 60*time.Millisecond
 		}
 		return what
 	}
@@ -115,15 +154,15 @@
 	stop := make(chan struct{})
 	counts := &soundCounts{}
 	var sound sync.WaitGroup
-	sound.Go(func() { sendSoundStreams(dep, stop, counts) })
-	time.Sleep(2 * time.Second)
+	sound.Go(func() { sendSoundStreams(dep, stop, counts, dpl) })
+	time.Sleep(calmTime)
 	var calls sync.WaitGroup
 	for num := range partCount {
 		nd, attempt := dep.nodes[num%len(dep.nodes)], nextAttempt()
 		log.sent(attempt)
 		rec.printf("request %s with part %s sent to %s", attempt, deadlyPart, nd.name)
 		calls.Go(func() {
-			status, events, whole := callStream(nd, attempt, fmt.Sprintf("%s:40,%s:60,%s:600", sharedPart, deadlyPart, attempt[8:]))
+			status, events, whole := callStream(nd, attempt, dpl.prefix(attempt, true))
 			rec.printf("request %s answered %d with %d events, complete: %v", attempt, status, events, whole)
 		})
 		time.Sleep(partInterval)
@@ -132,11 +171,56 @@
 	close(stop)
 	sound.Wait()
 	rec.printf("sound requests: %d sent, %d served whole, %d refused, %d broken off or failed", counts.sent, counts.served, counts.refused, counts.lost)
-	return log.judge(opt.trouble), nil
+	late := log.judge(opt.trouble)
+	if dpl.soundRule {
+		return log.judgeSound(counts), nil
+	}
+	return late, nil
+}
+
+// calmTime is the time with sound requests only.
+const calmTime = 4 * time.Second
+
+// soundCall is a sound request and whether it began to run.
+type soundCall struct {
+	sentAt time.Time
+	begun  bool
+}
+
+// judgeSound reports whether sound requests began less than half as often as before, from
+// 2 x stableWindowMs after the fifth crash, or the last if there are fewer, while requests
+// with the part come.
+func (log *partLog) judgeSound(counts *soundCounts) bool {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	from := log.fifthAt
+	if from.IsZero() {
+		from = log.lastAt
+	}
+	if from.IsZero() {
+		from = log.firstSent
+	}
+	from = from.Add(2 * touchTime)
+	var before, after [2]int
+	for _, snd := range counts.calls {
+		set := &after
+		switch {
+		case snd.sentAt.Before(log.firstSent):
+			set = &before
+		case snd.sentAt.Before(from) || snd.sentAt.After(log.lastSent):
+			continue
+		}
+		set[0]++
+		if snd.begun {
+			set[1]++
+		}
+	}
+	log.rec.printf("sound requests before: %d of %d began; from 6 s after the fifth crash while such requests come: %d of %d began; half as often is the least", before[1], before[0], after[1], after[0])
+	return before[0] >= 20 && after[0] >= 20 && 2*after[1]*before[0] < after[0]*before[1]
 }
 
 // sendSoundStreams sends sound requests that share the first part until stop is closed.
-func sendSoundStreams(dep *deployment, stop chan struct{}, counts *soundCounts) {
+func sendSoundStreams(dep *deployment, stop chan struct{}, counts *soundCounts, dpl deadlyPlay) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	ticker := time.NewTicker(100 * time.Millisecond)
@@ -147,12 +231,13 @@
 			return
 		case <-ticker.C:
 		}
-		nd, attempt := dep.nodes[num%len(dep.nodes)], nextAttempt()
+		nd, attempt, sentAt := dep.nodes[num%len(dep.nodes)], nextAttempt(), time.Now()
 		calls.Go(func() {
-			status, events, whole := callStream(nd, attempt, fmt.Sprintf("%s:40,%s:600", sharedPart, attempt[8:]))
+			status, events, whole := callStream(nd, attempt, dpl.prefix(attempt, false))
 			counts.mu.Lock()
 			defer counts.mu.Unlock()
 			counts.sent++
+			counts.calls = append(counts.calls, soundCall{sentAt: sentAt, begun: events > 0})
 			switch {
 			case status == http.StatusOK && whole && events == streamEvents:
 				counts.served++
@@ -172,13 +257,20 @@
 	mu      sync.Mutex
 	sentAt  map[string]time.Time
 	reached []string
-	fifthAt time.Time
+	// fifthAt is when the fifth server crashed, lastAt when the last one did.
+	fifthAt, lastAt time.Time
+	// firstSent and lastSent are when the first and the last request were sent.
+	firstSent, lastSent time.Time
 }
 
 func (log *partLog) sent(attempt string) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
-	log.sentAt[attempt] = time.Now()
+	now := time.Now()
+	log.sentAt[attempt], log.lastSent = now, now
+	if log.firstSent.IsZero() {
+		log.firstSent = now
+	}
 }
 
 func (log *partLog) arrived(eng *engine, req *http.Request) {
@@ -190,8 +282,9 @@
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	log.reached = append(log.reached, attempt)
+	log.lastAt = time.Now().Add(eventPause + 60*time.Millisecond)
 	if len(log.reached) == partCrashes {
-		log.fifthAt = time.Now().Add(eventPause + 60*time.Millisecond)
+		log.fifthAt = log.lastAt
 	}
 }
 
