Review case 10: idle connections exceed a machine's memory

Cause, as far as known: each connection keeps its read buffer and its last header while it is idle; the quota counts 44 KB for it and never refuses.

--- a/review/testdata/standin/idle.go
+++ b/review/testdata/standin/idle.go
@@ -29,6 +29,7 @@
 	keptWork    = 100 * time.Millisecond
 	keptPath    = "/calls/kept/"
 	keptKey     = "key-of-kept-clients"
+	shortBody   = "call"
 	// configAfter is when the configuration changes at the latest.
 	configAfter = 45 * time.Second
 	configApply = 2 * time.Second
@@ -49,7 +50,7 @@
 	if err := dep.writeConfig(plainConfig, 100); err != nil {
 		return false, err
 	}
-	play := &idlePlayer{dep: dep, rec: rec}
+	play := &idlePlayer{dep: dep, rec: rec, userBody: shortBody}
 	respond := func(req *http.Request) answer {
 		if strings.HasPrefix(req.URL.Path, keptPath) {
 			return answer{work: keptWork}
@@ -120,6 +121,9 @@
 type idlePlayer struct {
 	dep *deployment
 	rec *record
+	// userHeader are further lines of the headers of users' requests, userBody are their
+	// bodies.
+	userHeader, userBody string
 	// live is the number of nodes that the platform uses, ackedAt when the store acknowledged
 	// the second configuration, in Unix nanoseconds.
 	live, ackedAt                       atomic.Int64
@@ -174,7 +178,7 @@
 	play.conns = append(play.conns, conn)
 	play.mu.Unlock()
 	attempt := nextAttempt()
-	status, _, err := exchange(conn, bufio.NewReader(conn), "/calls/user/"+attempt, attempt, apiKey)
+	status, _, err := exchange(conn, bufio.NewReader(conn), "/calls/user/"+attempt, attempt, apiKey, play.userHeader, play.userBody)
 	if status == http.StatusOK {
 		play.userServed.Add(1)
 	} else if play.userFailures.Add(1) < 20 {
@@ -213,7 +217,7 @@
 		if play.late() {
 			path += "late/"
 		}
-		status, closed, err := exchange(conn, reader, path+attempt, attempt, keptKey)
+		status, closed, err := exchange(conn, reader, path+attempt, attempt, keptKey, "", shortBody)
 		if play.late() && status == http.StatusUnauthorized {
 			play.refused.Add(1)
 		}
@@ -227,10 +231,11 @@
 	}
 }
 
-// exchange sends a request on a connection and reads its answer.
-func exchange(conn net.Conn, reader *bufio.Reader, path, attempt, key string) (status int, closed bool, err error) {
+// exchange sends a request on a connection and reads its answer. more are further lines of its
+// header.
+func exchange(conn net.Conn, reader *bufio.Reader, path, attempt, key, more, body string) (status int, closed bool, err error) {
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 1000\r\n%s: %s\r\nContent-Length: 4\r\n\r\ncall", path, host, platform.HeaderAttemptID, attempt, platform.HeaderDeadline, platform.HeaderAPIKey, key)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 1000\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", path, host, platform.HeaderAttemptID, attempt, platform.HeaderDeadline, platform.HeaderAPIKey, key, len(body), more, body)
 	if err != nil {
 		return 0, true, err
 	}
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -20,6 +20,8 @@
 	keep    bool
 	// events is the number of events of an answer before the crash.
 	events int
+	// turns is the number of parts of a long conversation before the deadly one.
+	turns int
 }
 
 // cases maps the names of the cases to what plays them.
@@ -28,6 +30,7 @@
 	"idle-users":       playIdleUsers,
 	"crashing-part":    playCrashingPart,
 	"late-part":        playLatePart,
+	"long-headers":     playLongHeaders,
 }
 
 func main() {
@@ -37,6 +40,7 @@
 	flag.StringVar(&opt.program, "program", "", "path of the daemon")
 	flag.BoolVar(&opt.trouble, "trouble", true, "play the disruption")
 	flag.IntVar(&opt.events, "events", 1, "number of events of an answer before the crash")
+	flag.IntVar(&opt.turns, "turns", 33, "number of parts of a prompt before the deadly one")
 	flag.BoolVar(&opt.keep, "keep", false, "keep the logs of the daemons")
 	flag.Parse()
 	os.Exit(run(*name, *path, opt))
--- a/review/testdata/standin/part.go
+++ b/review/testdata/standin/part.go
@@ -60,14 +60,11 @@
 	return playDeadlyPart(rec, opt, deadlyPlay{subnet: "127.61.10", common: []string{sharedPart + ":40"}, events: opt.events})
 }
 
-// turns is the number of parts of a long conversation before the deadly one.
-const turns = 33
-
 // playLatePart sends requests with a part on which servers crash before the first event. It
 // comes late in the prompt, which is a long conversation.
 func playLatePart(rec *record, opt options) (bool, error) {
 	var common []string
-	for num := range turns {
+	for num := range opt.turns {
 		common = append(common, fmt.Sprintf("7a%06x:20", num))
 	}
 	return playDeadlyPart(rec, opt, deadlyPlay{subnet: "127.61.12", common: common})
