--- a/core/place/doc.go
+++ b/core/place/doc.go
@@ -9,7 +9,7 @@
 // orders with an outdated term of the orderer or an outdated epoch of a group.
 //
 // A group is opened only after every member has reported ready under the
-// group's name and epoch. Members of a group whose head may be serving are
-// never ordered into another group: the head must leave first, unless it is
-// gone.
+// group's name and epoch. Members of an epoch whose head may be serving are never
+// ordered to join another one, also not of the same group: the epoch must have ended
+// first, by a fact about its head.
 package place
--- a/core/place/drains_test.go
+++ b/core/place/drains_test.go
@@ -142,6 +142,47 @@
 	}
 }
 
+// TestDarkHead stops the host of a head, which can't be told from one that is cut off. The
+// group must serve again under its name once the head would have broken. It guards against
+// members that wait for a head that is gone.
+func TestDarkHead(t *testing.T) {
+	fc, pl := newFormedCluster(t, 2)
+	head := fc.ServingHeads(large)[0]
+	name := head.Server().Group.Name
+	fc.Darken(head.ID())
+	fc.Run(pl, 800*time.Millisecond+emul.StallTimeout*11/10+2500*time.Millisecond)
+	names := map[string]bool{}
+	for _, eng := range fc.ServingHeads(large) {
+		names[eng.Server().Group.Name] = true
+	}
+	assert.Assert(t, len(names) == 2 && names[name], "%v", names)
+	checkViolations(t, fc)
+}
+
+// TestOpenHeadWithoutEntry cuts a head off from the orderer and the store for a minute, with
+// and without spares, while it stays in touch with its members. It guards against members that
+// are ordered into other groups since their head has been silent for long.
+func TestOpenHeadWithoutEntry(t *testing.T) {
+	for seed := range 20 {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			fc, pl := newFormedCluster(t, uint64(seed))
+			if seed%2 == 0 {
+				for _, eng := range append(spares(fc, "d0"), spares(fc, "d1")...) {
+					fc.Kill(eng.ID())
+				}
+			}
+			heads := append(fc.ServingHeads(large), fc.ServingHeads(small)...)
+			head := heads[fc.Rand().IntN(len(heads))].ID()
+			fc.Isolate(head)
+			fc.Run(pl, time.Minute)
+			fc.Reconnect(head)
+			fc.Run(pl, largeModel.LoadTime+20*time.Second)
+			assert.Assert(t, len(fc.ServingHeads(large))+len(fc.ServingHeads(small)) >= 3)
+			checkViolations(t, fc)
+		})
+	}
+}
+
 // TestUnreachableHead cuts a third of the servers off from the orderer, again and again for
 // 12 s each, while they reach the store, where the entries of heads say that they serve. It
 // guards against members of such a head that are ordered into other groups.
--- a/core/place/groups.go
+++ b/core/place/groups.go
@@ -29,11 +29,19 @@
 	return info.model.GroupSize
 }
 
-// survivors returns the usable members in order of rank, newest epoch first.
-// Members without an entry come last.
+// survivors returns the usable members in order of rank, newest epoch first, with those that
+// left the newest epoch on an order. Members without an entry come last.
 func (info *groupInfo) survivors(ps *pass) []*site.Server {
-	var out []*site.Server
+	var out, left []*site.Server
 	if info.current != nil {
+		key := epochKey{name: info.name, epoch: info.current.Epoch}
+		for _, srv := range ps.leavers(key) {
+			if srv.ID == ps.planner.epoch(key).head {
+				out = append(out, srv)
+			} else {
+				left = append(left, srv)
+			}
+		}
 		for _, member := range info.current.Members {
 			if ps.usable(member) {
 				out = append(out, member)
@@ -45,6 +53,7 @@
 			out = append(out, member)
 		}
 	}
+	out = append(out, left...)
 	slices.SortStableFunc(out, func(one, two *site.Server) int {
 		if ps.registered(one) == ps.registered(two) {
 			return 0
--- a/core/place/pass.go
+++ b/core/place/pass.go
@@ -66,6 +66,11 @@
 	for _, info := range infos {
 		ps.holdOlderMembers(info)
 	}
+	for key := range ps.planner.epochs {
+		if !ps.epochEnded(key) {
+			ps.hold(ps.leavers(key)...)
+		}
+	}
 	// Larger groups are more valuable, and spares for them are harder to find.
 	slices.SortStableFunc(degraded, func(one, two *groupInfo) int { return cmp.Compare(two.groupSize(), one.groupSize()) })
 	for _, info := range degraded {
@@ -117,17 +122,20 @@
 	if hist := ps.planner.servers[srv.ID]; ord.Kind == site.OrderJoin {
 		hist.lastJoinEpoch = max(hist.lastJoinEpoch, ord.Epoch)
 	}
+	if ord.Kind == site.OrderOpen {
+		ps.planner.epoch(epochKey{name: ord.Group, epoch: ord.Epoch}).opened = true
+	}
 	ps.planner.pendingOrders[srv.ID] = &pendingOrder{order: ord, sentAt: ps.input.Now, timeout: orderTimeout}
 	ps.orders = append(ps.orders, ord)
 	return true
 }
 
-// freeServers returns the usable servers of a domain that no group needs and
-// that load no model, sorted by ID.
+// freeServers returns the usable servers of a domain that no group needs, that may join
+// one and that load no model, sorted by ID.
 func (ps *pass) freeServers(domain string) []*site.Server {
 	var out []*site.Server
 	for _, srv := range ps.serversByDomain[domain] {
-		if !ps.held[srv.ID] && ps.planner.pendingOrders[srv.ID] == nil && ps.loadingModel(srv) == "" && !ps.planner.move.reserves(srv) {
+		if !ps.held[srv.ID] && ps.planner.pendingOrders[srv.ID] == nil && ps.loadingModel(srv) == "" && ps.mayJoin(srv) && !ps.planner.move.reserves(srv) {
 			out = append(out, srv)
 		}
 	}
@@ -179,6 +187,7 @@
 	ps.planner.plans[name] = plan
 	hist := ps.planner.group(name)
 	*hist = groupHistory{model: model.Name, epoch: plan.epoch}
+	*ps.planner.epoch(epochKey{name: name, epoch: plan.epoch}) = epochHistory{head: members[0].ID, issued: true, seenAt: ps.input.Now}
 	ps.addJoinOrders(name, plan)
 }
 
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"kumquathinge/core/site"
@@ -25,10 +26,9 @@
 	// leavingServeTime is how long a group without a spare for a leaving member takes
 	// requests that may not be resumed. They last up to 8 s.
 	leavingServeTime = 1500 * time.Millisecond
-	// headLossTimeout is the time after which members of a group whose head is
-	// unreachable and has no entry may join other groups. A head whose entry says
-	// that it serves is not taken for a stopped one, however long it is unreachable.
-	headLossTimeout = 20 * time.Second
+	// spareWaitTime is the time for which the members of a group that has lost its head
+	// wait for spares before they may complete other groups.
+	spareWaitTime = 20 * time.Second
 	// rejoinGrace is the time allowed for a running member to register again
 	// after its entry was removed. Entries that expired during an outage of the
 	// store or a partition are back about 2 s after it ends.
@@ -66,6 +66,12 @@
 	// Pinned returns the number of requests at a head that may neither be repeated nor
 	// resumed. A nil function means that there are none.
 	Pinned func(id string) int
+	// Ended reports whether the process of a server is known to have ended, and not just
+	// to be out of reach. A nil function means that this is never known.
+	Ended func(id string) bool
+	// StallTimeout is the time after which a head breaks that has lost a member. Zero
+	// selects defaultStallTimeout.
+	StallTimeout time.Duration
 	// Active reports whether a head sent data a moment ago. A nil function means that
 	// this is unknown.
 	Active func(id string) bool
@@ -107,9 +113,8 @@
 	// lastJoinEpoch is the highest epoch that the server was ordered to join,
 	// whatever the result.
 	lastJoinEpoch int64
-	// headUnknownSince is the time since which the server belongs to an epoch
-	// whose head isn't known to have left it.
-	headUnknownSince time.Time
+	// epoch is the epoch of a group that the entry of the process showed last.
+	epoch epochKey
 }
 
 // groupHistory is the history of the current epoch under a group's name.
@@ -122,9 +127,7 @@
 	// missingSince is the time since which a member has no entry, leavingSince that since
 	// which one is leaving and has no replacement.
 	missingSince, leavingSince time.Time
-	// headLeft is true once the head has left on an order.
-	headLeft bool
-	epoch    int64
+	epoch                      int64
 }
 
 // Planner plans the groups of a deployment during one term of its orderer.
@@ -136,10 +139,9 @@
 	plans         map[string]*groupPlan
 	servers       map[string]*serverHistory
 	groups        map[string]*groupHistory
-	// headByEpoch maps the observed epochs of groups to their heads.
-	headByEpoch map[epochKey]string
-	loadLimiter *loadLimiter
-	losses      lossHistory
+	epochs        map[epochKey]*epochHistory
+	loadLimiter   *loadLimiter
+	losses        lossHistory
 	// move is the transfer of servers to another model in progress, moveEndedAt the
 	// end of the last one. decisions lists the moves that were not taken yet.
 	move        *move
@@ -149,12 +151,6 @@
 	contendedUntil time.Time
 }
 
-// epochKey identifies an epoch of a group.
-type epochKey struct {
-	name  string
-	epoch int64
-}
-
 // New returns a Planner for the term. The term must increase with each change
 // of the orderer and have only one Planner, because group names and epochs
 // derive from it.
@@ -165,7 +161,7 @@
 		plans:         map[string]*groupPlan{},
 		servers:       map[string]*serverHistory{},
 		groups:        map[string]*groupHistory{},
-		headByEpoch:   map[epochKey]string{},
+		epochs:        map[epochKey]*epochHistory{},
 		loadLimiter:   &loadLimiter{},
 	}
 }
@@ -203,8 +199,15 @@
 	if pending == nil || pending.order.Kind != ord.Kind || pending.order.Epoch != ord.Epoch || pending.order.Group != ord.Group {
 		return
 	}
-	if hist := pl.groups[ord.Group]; hist != nil && ord.Kind == site.OrderLeave && res == site.OrderDone && hist.epoch == ord.Epoch {
-		hist.headLeft = true
+	if ord.Kind == site.OrderLeave && (res == site.OrderDone || res == site.OrderAccepted) {
+		key := epochKey{name: ord.Group, epoch: ord.Epoch}
+		pl.recordLeft(key, ord.Server, now)
+		if ep := pl.epochs[key]; ep != nil && !slices.Contains(ep.leavers, ord.Server) {
+			ep.leavers = append(ep.leavers, ord.Server)
+		}
+		// A leave takes effect at once, so the entry need not show it before the next order.
+		delete(pl.pendingOrders, ord.Server)
+		return
 	}
 	if res != site.OrderAccepted && res != site.OrderUnknown {
 		// The server was already in the state, or the order doesn't fit its
@@ -261,7 +264,7 @@
 			continue
 		}
 		if hist.goneSince.IsZero() {
-			hist.goneSince, hist.headUnknownSince = in.Now, time.Time{}
+			hist.goneSince = in.Now
 			if !in.View.Evacuated(hist.zone) {
 				pl.losses.record(hist.domain, in.Now)
 			}
@@ -270,13 +273,11 @@
 			delete(pl.servers, id)
 		}
 	}
+	pl.updateEpochs(in)
 	seen := map[string]bool{}
 	for _, grp := range in.View.Groups() {
 		// What was observed of a group before an evacuation is outdated after it.
 		seen[grp.Name] = !in.View.GroupEvacuated(grp)
-		if head := grp.Head(); head != nil {
-			pl.headByEpoch[epochKey{name: grp.Name, epoch: grp.Epoch}] = head.ID
-		}
 	}
 	for name, hist := range pl.groups {
 		if !seen[name] {
@@ -287,23 +288,6 @@
 	}
 }
 
-// headOf returns the head of a member's epoch, nil if it is unknown or has no entry. It may
-// have left the epoch.
-func (pl *Planner) headOf(srv *site.Server, view *site.View) *site.Server {
-	id, ok := pl.headByEpoch[epochKey{name: srv.Group.Name, epoch: srv.Group.Epoch}]
-	if !ok {
-		return nil
-	}
-	return view.Server(id)
-}
-
-// headHasLeft reports whether the head of a member's epoch is known to have
-// left it.
-func (pl *Planner) headHasLeft(srv *site.Server, view *site.View) bool {
-	head := pl.headOf(srv, view)
-	return head != nil && (head.Group.Name != srv.Group.Name || head.Group.Epoch != srv.Group.Epoch)
-}
-
 // group returns the history of the named group.
 func (pl *Planner) group(name string) *groupHistory {
 	hist := pl.groups[name]
--- a/core/place/repair.go
+++ b/core/place/repair.go
@@ -72,7 +72,7 @@
 	if slices.ContainsFunc(grp.Members, func(member *site.Server) bool { return member != nil && !ps.usable(member) }) {
 		return false
 	}
-	if head := grp.Head(); hist.headLeft || head != nil && head.Group.State != site.GroupOpen && head.Group.State != site.GroupReady {
+	if head := grp.Head(); ps.planner.epoch(epochKey{name: info.name, epoch: grp.Epoch}).headLeft || head != nil && head.Group.State != site.GroupOpen && head.Group.State != site.GroupReady {
 		return false
 	}
 	if hist.missingSince.IsZero() {
@@ -81,9 +81,7 @@
 	return ps.input.Now.Sub(hist.missingSince) < rejoinGrace
 }
 
-// holdOlderMembers puts members of earlier epochs of a group on hold. A head
-// that may be serving is ordered to leave. Other members wait until their head
-// can't be serving any more.
+// holdOlderMembers puts members of earlier epochs of a group on hold, and ends these epochs.
 func (ps *pass) holdOlderMembers(info *groupInfo) {
 	older := info.olderMembers
 	if info.plan != nil && info.current != nil && info.current.Epoch < info.plan.epoch {
@@ -93,42 +91,12 @@
 		if !ps.reachable(srv) || ps.held[srv.ID] {
 			continue
 		}
-		switch {
-		case mayServe(srv):
-			ps.hold(srv)
-			ps.addOrder(srv, site.Order{Kind: site.OrderLeave, Group: srv.Group.Name, Epoch: srv.Group.Epoch})
-		case srv.Group.Rank > 0 && ps.headMayServe(srv):
+		if !ps.endEpoch(srv) {
 			ps.hold(srv)
 		}
 	}
 }
 
-// headMayServe reports whether the head of a member's epoch may still be
-// serving.
-func (ps *pass) headMayServe(srv *site.Server) bool {
-	hist := ps.planner.servers[srv.ID]
-	head := ps.planner.headOf(srv, ps.input.View)
-	switch {
-	case ps.planner.headHasLeft(srv, ps.input.View):
-		hist.headUnknownSince = time.Time{}
-		return false
-	case head != nil && serves(head):
-		hist.headUnknownSince = time.Time{}
-		return true
-	}
-	if hist.headUnknownSince.IsZero() {
-		hist.headUnknownSince = ps.input.Now
-	}
-	return ps.input.Now.Sub(hist.headUnknownSince) < headLossTimeout
-}
-
-// mayServe reports whether a server may be serving as the head of its group. A
-// ready head counts, since its entry may predate an order to open.
-func mayServe(srv *site.Server) bool {
-	state := srv.Group.State
-	return srv.Group.Rank == 0 && (state == site.GroupReady || state == site.GroupOpen || state == site.GroupClosing)
-}
-
 // serves reports whether the entry of a head says that it serves.
 func serves(head *site.Server) bool {
 	return head.Group.State == site.GroupOpen || head.Group.State == site.GroupClosing
@@ -154,15 +122,25 @@
 		return
 	}
 	members = append(slices.Clone(members), spares...)[:info.model.GroupSize]
-	if !ps.registered(members[0]) {
-		return
-	}
-	if slices.ContainsFunc(members, func(member *site.Server) bool { return ps.planner.pendingOrders[member.ID] != nil }) {
+	pending := slices.ContainsFunc(members, func(member *site.Server) bool { return ps.planner.pendingOrders[member.ID] != nil })
+	if !ps.registered(members[0]) || !ps.endEpochs(members) || pending {
+		// The spares stay with the group until its members may join its next epoch.
+		ps.hold(spares...)
+		ps.countGroup(info.current.Domain, info.model.Name, len(members))
 		return
 	}
 	ps.startEpoch(info.name, info.model, members)
 }
 
+// endEpochs ends the epochs to which servers belong, and reports whether all have ended.
+func (ps *pass) endEpochs(srvs []*site.Server) bool {
+	ended := true
+	for _, srv := range srvs {
+		ended = ps.endEpoch(srv) && ended
+	}
+	return ended
+}
+
 // worksUnreached reports whether a group has members that this node can't reach, and none
 // that leaves, while its head makes progress: the members run then.
 func (ps *pass) worksUnreached(info *groupInfo) bool {
@@ -202,9 +180,12 @@
 // group. Its members then run, also those that this node can't reach.
 func (ps *pass) working(info *groupInfo) bool {
 	head := info.current.Head()
-	return ps.reachable(head) && serves(head) && ps.pinned(head) && ps.input.Active != nil && ps.input.Active(head.ID)
+	return ps.reachable(head) && serves(head) && ps.pinned(head) && ps.active(head.ID)
 }
 
+// active reports whether a head sent data to any node a moment ago.
+func (ps *pass) active(id string) bool { return ps.input.Active != nil && ps.input.Active(id) }
+
 // pinned reports whether requests that may not be resumed are open at a head.
 func (ps *pass) pinned(head *site.Server) bool {
 	return ps.input.Pinned != nil && ps.input.Pinned(head.ID) > 0
@@ -231,44 +212,39 @@
 	return ps.input.Now.Sub(hist.closeSentAt) < timeout
 }
 
-// dissolve ends a group without spares. Its members become free once its head
-// can't be serving any more.
+// dissolve ends a group without spares. Its members become free once its head can't be
+// serving any more. Those of a lost head wait for spares first.
 func (ps *pass) dissolve(info *groupInfo, hist *groupHistory, members []*site.Server) {
 	head := info.current.Head()
+	ep := ps.planner.epoch(epochKey{name: info.name, epoch: info.current.Epoch})
+	waiting := false
 	switch {
-	case ps.reachable(head) && (head.Group.State == site.GroupJoining || head.Group.State == site.GroupBroken):
-		ps.release(members)
-	case ps.reachable(head):
-		ps.endGroup(info)
-	case head != nil && serves(head):
+	case ps.reachable(head) || head == nil && ep.headLeft:
+		hist.headLostAt = time.Time{}
+	case head != nil && serves(head) && !ps.epochEnded(epochOf(head)):
 		// Its entry says that it serves: it may be cut off from this node only.
 		hist.headLostAt = time.Time{}
+		return
+	case hist.headLostAt.IsZero():
+		hist.headLostAt = ps.input.Now
+		waiting = true
 	default:
-		if hist.headLostAt.IsZero() {
-			hist.headLostAt = ps.input.Now
-		}
-		if head == nil && (hist.headLeft || ps.planner.headHasLeft(info.members[0], ps.input.View)) || ps.input.Now.Sub(hist.headLostAt) > headLossTimeout {
-			ps.release(members)
+		waiting = ps.input.Now.Sub(hist.headLostAt) <= spareWaitTime
+	}
+	for _, srv := range members {
+		if ps.endEpoch(srv) && !waiting {
+			delete(ps.held, srv.ID)
 		}
 	}
+	if !waiting && ps.epochEnded(epochKey{name: info.name, epoch: info.current.Epoch}) {
+		ep.leavers = nil
+	}
 }
 
 // endGroup orders the head to leave, which ends the group.
 func (ps *pass) endGroup(info *groupInfo) {
 	head := info.current.Head()
-	if ps.reachable(head) {
+	if ps.reachable(head) && !ps.epochEnded(epochOf(head)) {
 		ps.addOrder(head, site.Order{Kind: site.OrderLeave, Group: info.name, Epoch: info.current.Epoch})
 	}
 }
-
-// release makes servers available to other groups. A server that may be serving
-// as a head is ordered to leave its group first.
-func (ps *pass) release(srvs []*site.Server) {
-	for _, srv := range srvs {
-		if mayServe(srv) {
-			ps.addOrder(srv, site.Order{Kind: site.OrderLeave, Group: srv.Group.Name, Epoch: srv.Group.Epoch})
-			continue
-		}
-		delete(ps.held, srv.ID)
-	}
-}
--- a/core/site/server.go
+++ b/core/site/server.go
@@ -167,6 +167,9 @@
 	// StopGrace is the time between a stop request and the forced end of the
 	// process.
 	StopGrace time.Duration
+	// StallTimeout is the time after which the head of a group breaks that has lost a
+	// member, zero if unknown.
+	StallTimeout time.Duration
 	// RetryRatio and RetrySlack limit the retries of all nodes within any
 	// RetryWindow to RetryRatio times the requests plus RetrySlack.
 	RetryRatio, RetrySlack float64
--- a/entry/node.go
+++ b/entry/node.go
@@ -134,7 +134,7 @@
 	node.registrar = newNodeRegistrar(node.state, store, node.log, node.metrics, self)
 	node.orderer = &orderer{
 		state: node.state, health: health, store: store, serverClient: platform.NewServers(node.pools), peers: node.peers, loads: loads,
-		log: node.log, metrics: node.metrics, self: self, registry: node.registry, stopping: node.frontend.draining.Load, requestCount: node.frontend.requestCount.Load,
+		log: node.log, metrics: node.metrics, self: self, registry: node.registry, stallTimeout: func() time.Duration { return node.settings.Load().StallTimeout }, stopping: node.frontend.draining.Load, requestCount: node.frontend.requestCount.Load,
 	}
 	applier := &configApplier{state: node.state, log: node.log, metrics: node.metrics, onChange: node.registry.notifyTableChanged}
 	fwd.resumed = &resumeGate{log: node.log, readAgain: node.confirmOperatorTopic, enabled: func() bool { return node.settings.Load().EvacuationTimeout > 0 }}
--- a/entry/orderer.go
+++ b/entry/orderer.go
@@ -67,6 +67,8 @@
 	self         nodeRecord
 	stopping     func() bool
 	requestCount func() int64
+	// stallTimeout returns the time after which a head breaks that has lost a member.
+	stallTimeout func() time.Duration
 
 	planner *place.Planner
 	// coldStart is set if no group served when this node became the orderer.
@@ -410,7 +412,7 @@
 func (ord *orderer) sendOrders(ctx context.Context, view *site.View, now time.Time) {
 	table := ord.state.table.Load()
 	orders := ord.planner.Step(place.Input{
-		Now: now, View: view, Table: table, Unregistered: ord.isUnregistered, Unreachable: ord.isLost, Slow: ord.isSlow, Pinned: ord.pinnedRequests, Active: ord.isActive, Utilisation: ord.sampleLoad(now), Demand: ord.demand.tracker.Demand(now), BeforeTraffic: ord.coldStart && ord.requestCount() == 0,
+		Now: now, View: view, Table: table, Unregistered: ord.isUnregistered, Unreachable: ord.isLost, Ended: ord.hasEnded, StallTimeout: ord.stallTimeout(), Slow: ord.isSlow, Pinned: ord.pinnedRequests, Active: ord.isActive, Utilisation: ord.sampleLoad(now), Demand: ord.demand.tracker.Demand(now), BeforeTraffic: ord.coldStart && ord.requestCount() == 0,
 	})
 	ord.reportMoves(now)
 	planner := ord.planner
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,12 +31,17 @@
 	server      *site.Server
 	lastProbeAt time.Time
 	slow        bool
+	// refused is set if the host refused a connection: no process listens there.
+	refused bool
 }
 
 // isLost reports whether the server did not respond and has not restarted
 // since.
 func (ord *orderer) isLost(id string) bool { return ord.hasFault(id, false) }
 
+// hasEnded reports whether the process of a lost server is known to have ended.
+func (ord *orderer) hasEnded(id string) bool { return ord.faults[id].refused }
+
 // isSlow reports whether the server reported that it is slow.
 func (ord *orderer) isSlow(id string) bool { return ord.hasFault(id, true) }
 
@@ -174,9 +181,12 @@
 	logEntry := ord.log.WithFields(logrus.Fields{"server": srv.ID, "group": srv.Group.Name, "epoch": srv.Group.Epoch, "pace": report.Slowdown, "error": err})
 	switch {
 	case err != nil && (!faulty || fault.slow):
-		ord.faults[srv.ID] = serverFault{server: srv, lastProbeAt: now}
+		ord.faults[srv.ID] = serverFault{server: srv, lastProbeAt: now, refused: errors.Is(err, syscall.ECONNREFUSED)}
 		ord.beginOutage(srv, now)
 		logEntry.WithField("event", "server_lost").Warn("server does not respond")
+	case err != nil && !fault.refused && errors.Is(err, syscall.ECONNREFUSED):
+		fault.refused = true
+		ord.faults[srv.ID] = fault
 	case err == nil && report.Slowdown >= slowPace && (!faulty || !fault.slow):
 		ord.faults[srv.ID] = serverFault{server: srv, lastProbeAt: now, slow: true}
 		logEntry.WithField("event", "server_slow").Warn("server is slow")
--- a/io/wire/pool.go
+++ b/io/wire/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -243,6 +245,24 @@
 	return nil
 }
 
+// dialError is the failure to open a connection.
+type dialError struct {
+	coded *core.Error
+	cause error
+}
+
+// Error implements error.
+func (err *dialError) Error() string { return err.coded.Error() }
+
+// Unwrap returns the coded error.
+func (err *dialError) Unwrap() error { return err.coded }
+
+// Is reports whether the host refused the connection, for syscall.ECONNREFUSED. A timeout of
+// the dial is none of the request.
+func (err *dialError) Is(target error) bool {
+	return target == syscall.ECONNREFUSED && errors.Is(err.cause, target)
+}
+
 func (pool *Pool) dial(ctx context.Context) (*trackedConn, error) {
 	if pool.closed.Load() {
 		return nil, eris.Wrap(core.Errorf(core.CodeDialFailed, "connection pool is closed"), pool.addr)
@@ -250,7 +270,7 @@
 	generation := pool.generation.Load()
 	raw, err := pool.cfg.dial(ctx, pool.addr)
 	if err != nil {
-		return nil, eris.Wrap(core.Errorf(core.CodeDialFailed, "%v", err), pool.addr)
+		return nil, eris.Wrap(&dialError{coded: core.Errorf(core.CodeDialFailed, "%v", err), cause: err}, pool.addr)
 	}
 	return newConn(raw, generation), nil
 }
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -370,3 +371,32 @@
 		time.Sleep(2 * ioTimeout)
 	}
 }
+
+// TestDialErrors guards against a host that is out of reach and counts as one that refuses
+// connections, and against a dial that times out and counts as the end of the request.
+func TestDialErrors(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	refusing := lis.Addr().String()
+	assert.NilError(t, lis.Close())
+	silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for _, tt := range []struct {
+		name    string
+		dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+		refused bool
+	}{{"refused", nil, true}, {"out of reach", silent, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			req := fasthttp.AcquireRequest()
+			req.SetRequestURI("/")
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			_, _, err := wire.NewPools(wire.Config{Dial: tt.dial, DialTimeout: time.Second}).Get(refusing).Do(ctx, wire.Exchange{Req: req})
+			assert.Equal(t, core.CodeOf(err), core.CodeDialFailed)
+			assert.Equal(t, errors.Is(err, syscall.ECONNREFUSED), tt.refused)
+			assert.Assert(t, !errors.Is(err, context.DeadlineExceeded))
+		})
+	}
+}
--- a/model/emul/engine.go
+++ b/model/emul/engine.go
@@ -46,6 +46,10 @@
 	wasReady map[string]bool
 	// pinned holds the ends of the requests that may not be resumed.
 	pinned []time.Time
+	// dark is set if the host has stopped with the process.
+	dark bool
+	// stalledSince is the time since which the head serves without all of its members.
+	stalledSince time.Time
 	// slow is the factor by which the server slows its group down.
 	slow float64
 }
@@ -108,6 +112,12 @@
 	}
 }
 
+// mayServe reports whether the server is a head that serves or is about to.
+func (eng *Engine) mayServe() bool {
+	state := eng.server.Group.State
+	return eng.server.Group.Rank == 0 && (state == site.GroupOpen || state == site.GroupClosing || !eng.openAt.IsZero())
+}
+
 // close makes a head ready, or closing while requests that may not be resumed are open.
 func (eng *Engine) close() {
 	eng.server.Group.State = site.GroupClosing
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -90,6 +90,8 @@
 	mu              sync.Mutex
 	// faults are the periods of faults for which requests at the server may be lost.
 	faults []Period
+	// cuts is the number of cuts from the nodes that are in progress.
+	cuts int
 }
 
 // beginFault records that a fault begins, and returns the function that records its
@@ -210,7 +212,7 @@
 		zone = zoneName(domainNumber(domain))
 	}
 	srv := platfk.NewServer(dep.store, platfk.ServerConfig{
-		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, Cold: dep.coldConfig(), KeepAlive: true,
+		ID: fmt.Sprintf("s%03d", dep.serverCount), Service: service, Zone: zone, Domain: domain, OnLeave: dep.memberLeft, JoinTime: dep.options.JoinTime, Cold: dep.coldConfig(), KeepAlive: true,
 		AdvertisedAddr: func(addr string) string {
 			if proxy == nil && err == nil {
 				proxy, err = newNodeProxy(addr, dep.links)
@@ -233,17 +235,38 @@
 // healthyResponse returns the response of a server without a fault.
 func healthyResponse(req *http.Request, _ int) platfk.Response { return requestedWork(req) }
 
+const (
+	// stallTimeout is the time after which the head of a group breaks that has lost a member.
+	stallTimeout = 5 * time.Second
+	// unreachTime is the time after a fault of its links within which a head may still count
+	// as unreachable.
+	unreachTime = 3 * time.Second
+)
+
 // memberLeft ends the responses of a group when an order takes a member out of it, and
-// records a violation if its head still serves.
-func (dep *deployment) memberLeft(id, group string) {
+// records a violation if its head still serves, or stands still and is not broken. Only a
+// member of a head that is out of reach, or idle without an entry, may be ordered to leave,
+// but not to join another epoch, also not one of the same name.
+func (dep *deployment) memberLeft(dpt platfk.Departure) {
+	violation := func(head string) {
+		dep.mu.Lock()
+		defer dep.mu.Unlock()
+		dep.groupViolations = append(dep.groupViolations, fmt.Sprintf("%s was ordered out of group %s while its head %s served, by a join: %v", dpt.ID, dpt.Group, head, dpt.Join))
+	}
+	if dpt.Served && dpt.Join {
+		violation(dpt.ID)
+	}
 	for _, srv := range dep.allServers() {
-		if srv.ID() == id || !srv.Serves(group) {
+		if srv.ID() == dpt.ID || !srv.Serves(dpt.Group) {
 			continue
 		}
+		now := time.Now()
+		outOfReach := srv.disrupted(now.Add(-unreachTime), now) || srv.removed.Load() && !srv.Busy()
 		srv.CutResponses()
-		dep.mu.Lock()
-		dep.groupViolations = append(dep.groupViolations, fmt.Sprintf("%s was ordered out of group %s while its head %s served", id, group, srv.ID()))
-		dep.mu.Unlock()
+		srv.BreakAfter(dpt.Group, stallTimeout)
+		if dpt.Join || !outOfReach {
+			violation(srv.ID())
+		}
 	}
 }
 
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -81,6 +81,18 @@
 	})
 }
 
+// TestServersCutInWaves cuts servers off from all nodes in waves that overlap, while joins take
+// time. It guards against members that join another epoch, also under the same name, while
+// their head is open or stands still.
+func TestServersCutInWaves(t *testing.T) {
+	t.Parallel()
+	var faults []soak.Fault
+	for num := range 5 {
+		faults = append(faults, soak.Fault{Kind: soak.ServerWave, StartsAfter: time.Duration(1+5*num) * time.Second, Duration: 12 * time.Second, TargetSeed: uint64(num)})
+	}
+	run(t, soak.Options{Program: buildProgram(t), Seed: 108, Duration: 24 * time.Second, Nodes: 3, Groups: 8, JoinTime: 1500 * time.Millisecond, Faults: faults})
+}
+
 // TestUploadBurst sends large bodies from many clients at the same time. It guards against
 // processes that hold more bytes than the memory of their VM.
 func TestUploadBurst(t *testing.T) {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -63,6 +63,8 @@
 		undo = dep.injectRepeat(fault, rng)
 	case NodeStranded:
 		undo = dep.injectStranded(fault, rng)
+	case ServerWave:
+		undo = dep.injectWave(fault, rng)
 	case UploadBurst:
 		undo = dep.injectUploads()
 	case ServerUneven:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -79,6 +79,9 @@
 	// NodeStranded cuts a node, or most nodes, off from all backend servers. It is drawn
 	// apart too.
 	NodeStranded
+	// ServerWave cuts a part of the backend servers off from all nodes, but not from the
+	// store. It is drawn apart too.
+	ServerWave
 	// NodeLateTerm stops a node whose process runs late when the signal arrives. It is
 	// never drawn.
 	NodeLateTerm
@@ -114,6 +117,8 @@
 		return "server_repeat"
 	case NodeStranded:
 		return "node_stranded"
+	case ServerWave:
+		return "server_wave"
 	case NodeLateTerm:
 		return "node_late_term"
 	case Evacuate:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,10 @@
 	// Stranded adds nodes that are cut off from all backend servers to the faults of the
 	// seed.
 	Stranded bool
+	// Waves adds waves of servers that are cut off from all nodes to the faults of the seed.
+	Waves bool
+	// JoinTime is the time that joins of servers take.
+	JoinTime time.Duration
 	// Faults replace those of the seed if they are not nil. Planned is set if they are
 	// planned maintenance only.
 	Faults  []Fault
@@ -104,6 +108,9 @@
 	if opts.Stranded {
 		faults = AddStranded(faults, opts.Seed, opts.Duration, planned)
 	}
+	if opts.Waves {
+		faults = AddWaves(faults, opts.Seed, opts.Duration, planned)
+	}
 	if opts.Faults != nil {
 		return opts.Faults, opts.Planned
 	}
