--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -21,8 +21,10 @@
 // Requests of which no two are alike may share a part on which servers crash. A
 // PartTracker counts by the parts that requests share, and by the whole request
 // as one more part. It needs no probes: a part is a candidate for a crash if the
-// connection of its request ended with the server before the first event of the
-// answer. What the server had begun to answer goes before what was waiting there.
+// connection of its request ended with the server before its answer was beyond the
+// point at which servers crash. Events that the server sent before that don't show
+// that the request is sound. What the server had begun to answer without an
+// event goes before what was waiting there.
 //
 //   - A success clears a part, at all nodes: the server answered beyond the point at
 //     which servers crash.
--- a/core/crash/evaluate.go
+++ b/core/crash/evaluate.go
@@ -19,9 +19,9 @@
 
 // crash is the end of one server, as all nodes saw it.
 type crash struct {
-	run            ServerRun
-	at             time.Time
-	begun, waiting subjects
+	run    ServerRun
+	at     time.Time
+	stages [numStages]subjects
 	// companions are the crashes of the same moment, including this one.
 	companions []*crash
 }
@@ -32,13 +32,23 @@
 func sharedParts(sub subjects) map[core.PromptPart]struct{}   { return sub.shared }
 func wholeRequests(sub subjects) map[core.PromptPart]struct{} { return sub.own }
 
-// candidates returns what may have caused the crash: what had begun, or what
-// was waiting if no request is known to have begun.
+// begun reports whether a request is known whose answer had begun without an event.
+func (crs *crash) begun() bool { return !crs.stages[StageBegun].empty() }
+
+// candidates returns what may have caused the crash: what had begun, or what was waiting
+// if no request is known to have begun, and what had just been answered.
 func (crs *crash) candidates(kind kindOf) map[core.PromptPart]struct{} {
-	if !crs.begun.empty() {
-		return kind(crs.begun)
+	out := kind(crs.stages[StageWaiting])
+	if crs.begun() {
+		out = kind(crs.stages[StageBegun])
+	}
+	answered := kind(crs.stages[StageAnswered])
+	if len(answered) == 0 {
+		return out
 	}
-	return kind(crs.waiting)
+	out = maps.Clone(out)
+	maps.Copy(out, answered)
+	return out
 }
 
 // counts reports whether the crash counts for a part that is a candidate. One
@@ -61,8 +71,9 @@
 
 // contains reports whether a request with the part was at the server.
 func (crs *crash) contains(part core.PromptPart) bool {
-	for _, set := range []map[core.PromptPart]struct{}{crs.begun.shared, crs.begun.own, crs.waiting.shared, crs.waiting.own} {
-		if _, ok := set[part]; ok {
+	for _, sub := range crs.stages {
+		_, own := sub.own[part]
+		if _, shared := sub.shared[part]; own || shared {
 			return true
 		}
 	}
@@ -83,8 +94,9 @@
 			if ev.at.Before(crs.at) {
 				crs.at = ev.at
 			}
-			crs.begun.merge(ev.begun)
-			crs.waiting.merge(ev.waiting)
+			for stage := range crs.stages {
+				crs.stages[stage].merge(ev.stages[stage])
+			}
 		}
 	}
 	collect(tr.crashes)
@@ -127,8 +139,9 @@
 	crashes := tr.allCrashes()
 	tr.mentioned = map[core.PromptPart]struct{}{}
 	for _, crs := range crashes {
-		maps.Copy(tr.mentioned, crs.begun.shared)
-		maps.Copy(tr.mentioned, crs.waiting.shared)
+		for _, sub := range crs.stages {
+			maps.Copy(tr.mentioned, sub.shared)
+		}
 	}
 	tr.quarantineCertain(crashes, wholeRequests, now)
 	tr.quarantineCertain(crashes, sharedParts, now)
@@ -201,7 +214,7 @@
 // explains count only for shared parts that have never had a success.
 func (tr *PartTracker) quarantineCertain(crashes []*crash, kind kindOf, now time.Time) {
 	settled := slices.DeleteFunc(slices.Clone(crashes), func(crs *crash) bool {
-		return crs.begun.empty() && now.Sub(crs.at) < tr.cfg.SettleTime
+		return !crs.begun() && now.Sub(crs.at) < tr.cfg.SettleTime
 	})
 	tallies := tr.tallies(settled, kind)
 	for _, part := range slices.Sorted(maps.Keys(tallies)) {
@@ -254,10 +267,10 @@
 // shared parts, explain the crash.
 func (tr *PartTracker) explainedByRequest(crs *crash) bool {
 	for part := range tr.quarantines {
-		_, begun := crs.begun.shared[part]
-		_, waiting := crs.waiting.shared[part]
-		if begun || waiting {
-			return false
+		for _, sub := range crs.stages {
+			if _, ok := sub.shared[part]; ok {
+				return false
+			}
 		}
 	}
 	return true
--- a/core/crash/example_test.go
+++ b/core/crash/example_test.go
@@ -38,7 +38,7 @@
 	bad := crash.Subject{Shared: []core.PromptPart{"system", "template"}}
 	for _, id := range []string{"s1", "s2"} {
 		now = now.Add(time.Second)
-		tr.Interrupted(crash.ServerRun{ID: id}, bad, true, now)
+		tr.Interrupted(crash.ServerRun{ID: id}, bad, crash.StageBegun, now)
 	}
 	decision := tr.Decide(bad, now)
 	fmt.Println(decision.Disposition == crash.Quarantined, decision.Part, decision.Servers)
--- a/core/crash/exchange.go
+++ b/core/crash/exchange.go
@@ -29,6 +29,22 @@
 	Waiting    []core.PromptPart `cbor:"4,keyasint,omitempty"`
 	BegunOwn   []core.PromptPart `cbor:"5,keyasint,omitempty"`
 	WaitingOwn []core.PromptPart `cbor:"6,keyasint,omitempty"`
+	// Answered are the shared parts of the requests that had just been answered,
+	// AnsweredOwn these requests.
+	Answered    []core.PromptPart `cbor:"8,keyasint,omitempty"`
+	AnsweredOwn []core.PromptPart `cbor:"9,keyasint,omitempty"`
+}
+
+// lists returns the lists of the shared parts and of the whole requests of a stage.
+func (rep *EndReport) lists(stage Stage) (shared, own *[]core.PromptPart) {
+	switch stage {
+	case StageBegun:
+		return &rep.Begun, &rep.BegunOwn
+	case StageAnswered:
+		return &rep.Answered, &rep.AnsweredOwn
+	default:
+		return &rep.Waiting, &rep.WaitingOwn
+	}
 }
 
 // QuarantineReport is a quarantine with the time since its begin and until its
@@ -73,10 +89,12 @@
 	runs := slices.SortedFunc(maps.Keys(tr.crashes), func(one, two ServerRun) int { return tr.crashes[two].at.Compare(tr.crashes[one].at) })
 	for _, run := range runs[:min(len(runs), maxReportedCrashes)] {
 		ev := tr.crashes[run]
-		out.Crashes = append(out.Crashes, EndReport{
-			Run: run, Age: now.Sub(ev.at), Begun: firstParts(ev.begun.shared), Waiting: firstParts(ev.waiting.shared),
-			BegunOwn: firstParts(ev.begun.own), WaitingOwn: firstParts(ev.waiting.own),
-		})
+		rep := EndReport{Run: run, Age: now.Sub(ev.at)}
+		for stage := range numStages {
+			shared, own := rep.lists(stage)
+			*shared, *own = firstParts(ev.stages[stage].shared), firstParts(ev.stages[stage].own)
+		}
+		out.Crashes = append(out.Crashes, rep)
 	}
 	for _, part := range append(slices.Sorted(maps.Keys(tr.quarantines)), slices.Sorted(maps.Keys(tr.mentioned))...) {
 		at := tr.proved.last(part)
@@ -128,8 +146,10 @@
 		if before := old.crashes[rep.Run]; before != nil && before.at.Before(ev.at) {
 			ev.at = before.at
 		}
-		ev.begun.addAll(rep.Begun, rep.BegunOwn)
-		ev.waiting.addAll(rep.Waiting, rep.WaitingOwn)
+		for stage := range numStages {
+			shared, own := rep.lists(stage)
+			ev.stages[stage].addAll(*shared, *own)
+		}
 		peer.crashes[rep.Run] = ev
 	}
 	tr.peers[from] = peer
@@ -162,9 +182,14 @@
 	}
 	for run, ev := range peer.crashes {
 		before := old.crashes[run]
-		if before == nil || ev.begun.size() != before.begun.size() || ev.waiting.size() != before.waiting.size() {
+		if before == nil {
 			return true
 		}
+		for stage := range ev.stages {
+			if ev.stages[stage].size() != before.stages[stage].size() {
+				return true
+			}
+		}
 	}
 	return false
 }
--- a/core/crash/fuzz_test.go
+++ b/core/crash/fuzz_test.go
@@ -36,7 +36,7 @@
 			tr.UpdatePeer("peer", &report, now)
 			tr.Decide(subjectOf("p"), now)
 			tr.StartTrial(subjectOf("p"), now)
-			tr.Interrupted(runOf("a"), subjectOf("p"), true, now)
+			tr.Interrupted(runOf("a"), subjectOf("p"), crash.StageBegun, now)
 			tr.TakeChanges(now)
 			if out := tr.Export(now); out != nil {
 				assert.Assert(t, len(out.Quarantines) <= 24 && len(out.Crashes) <= 12)
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -93,19 +93,34 @@
 	return cfg
 }
 
-// evidence is one node's view of the end of a server: the parts of its
-// requests that had begun without an event, and of those that had not begun.
+// Stage is how far the answer to a request had come when its connection ended.
+type Stage uint8
+
+// Stages of an answer.
+const (
+	// StageWaiting is that of a request without an answer.
+	StageWaiting Stage = iota
+	// StageBegun is that of an answer without an event.
+	StageBegun
+	// StageAnswered is that of an answer with events, which is not beyond the point at which
+	// servers crash.
+	StageAnswered
+	numStages
+)
+
+// evidence is one node's view of the end of a server: the parts of its requests by the
+// stage of their answers.
 type evidence struct {
-	at             time.Time
-	begun, waiting subjects
+	at     time.Time
+	stages [numStages]subjects
 }
 
-// withdrawal is a request that this node took back from a server before the
-// first event of its answer.
+// withdrawal is a request that this node took back from a server before its answer was
+// beyond the point at which servers crash.
 type withdrawal struct {
 	run   ServerRun
 	req   Subject
-	begun bool
+	stage Stage
 	at    time.Time
 }
 
@@ -194,10 +209,10 @@
 // SetNodes sets the number of live nodes, including this one.
 func (tr *PartTracker) SetNodes(num int) { tr.nodes = num }
 
-// Interrupted records that the connection of a request to a server ended before
-// the first event of its answer. begun is set if the answer had begun. Requests
-// beyond the limits are not recorded.
-func (tr *PartTracker) Interrupted(run ServerRun, req Subject, begun bool, now time.Time) {
+// Interrupted records that the connection of a request to a server ended before its
+// answer was beyond the point at which servers crash. Requests beyond the limits are not
+// recorded.
+func (tr *PartTracker) Interrupted(run ServerRun, req Subject, stage Stage, now time.Time) {
 	ev := tr.crashes[run]
 	if ev == nil {
 		tr.expireCrashes(now)
@@ -207,21 +222,17 @@
 		ev = &evidence{at: now}
 		tr.crashes[run] = ev
 	}
-	if begun {
-		ev.begun.add(req)
-		tr.urgent = true
-	} else {
-		ev.waiting.add(req)
-	}
+	ev.stages[stage].add(req)
+	tr.urgent = tr.urgent || stage != StageWaiting
 	tr.stale = true
 }
 
-// Withdrawn records that this node took a request back from a server before the
-// first event of its answer. If the server ends soon, the request may be the
-// cause.
-func (tr *PartTracker) Withdrawn(run ServerRun, req Subject, begun bool, now time.Time) {
+// Withdrawn records that this node took a request back from a server before its answer
+// was beyond the point at which servers crash. If the server ends soon, the request may
+// be the cause.
+func (tr *PartTracker) Withdrawn(run ServerRun, req Subject, stage Stage, now time.Time) {
 	if len(tr.withdrawn) < maxWithdrawn {
-		tr.withdrawn = append(tr.withdrawn, withdrawal{run: run, req: req, begun: begun, at: now})
+		tr.withdrawn = append(tr.withdrawn, withdrawal{run: run, req: req, stage: stage, at: now})
 		tr.stale = true
 	}
 }
@@ -243,7 +254,7 @@
 	}
 	tr.withdrawn = slices.DeleteFunc(tr.withdrawn, func(wdr withdrawal) bool {
 		if ended[wdr.run] {
-			tr.Interrupted(wdr.run, wdr.req, wdr.begun, now)
+			tr.Interrupted(wdr.run, wdr.req, wdr.stage, now)
 		}
 		return ended[wdr.run] || now.Sub(wdr.at) >= withdrawnTime
 	})
@@ -274,10 +285,10 @@
 // involved reports whether the request is in the evidence of a crash.
 func (tr *PartTracker) involved(own core.PromptPart) bool {
 	for _, ev := range tr.crashes {
-		_, begun := ev.begun.own[own]
-		_, waiting := ev.waiting.own[own]
-		if begun || waiting {
-			return true
+		for _, sub := range ev.stages {
+			if _, ok := sub.own[own]; ok {
+				return true
+			}
 		}
 	}
 	return false
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -107,42 +107,42 @@
 		want crash.Disposition
 	}{
 		{"nothing", func(*crash.PartTracker) {}, crash.Allowed},
-		{"one crash", func(tr *crash.PartTracker) { tr.Interrupted(runOf("a"), req, true, at(0)) }, crash.Isolated},
+		{"one crash", func(tr *crash.PartTracker) { tr.Interrupted(runOf("a"), req, crash.StageBegun, at(0)) }, crash.Isolated},
 		{"two crashes", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), subjectOf("second"), true, at(0))
-			tr.Interrupted(runOf("b"), subjectOf("second"), true, at(1000))
+			tr.Interrupted(runOf("a"), subjectOf("second"), crash.StageBegun, at(0))
+			tr.Interrupted(runOf("b"), subjectOf("second"), crash.StageBegun, at(1000))
 		}, crash.Quarantined},
 		{"two requests on one server", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), req, true, at(0))
-			tr.Interrupted(runOf("a"), req, true, at(10))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(0))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(10))
 		}, crash.Isolated},
 		{"a success in between", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(0))
 			tr.Proved(req, at(500))
-			tr.Interrupted(runOf("b"), req, true, at(1000))
+			tr.Interrupted(runOf("b"), req, crash.StageBegun, at(1000))
 		}, crash.Allowed},
 		{"success of both before", func(tr *crash.PartTracker) {
 			tr.Proved(req, at(0))
-			tr.Interrupted(runOf("a"), req, true, at(500))
-			tr.Interrupted(runOf("b"), req, true, at(1000))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(500))
+			tr.Interrupted(runOf("b"), req, crash.StageBegun, at(1000))
 		}, crash.Allowed},
 		{"success long before", func(tr *crash.PartTracker) {
 			tr.Proved(req, at(-100_000))
-			tr.Interrupted(runOf("a"), req, true, at(500))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(500))
 		}, crash.Isolated},
 		{"three crashes after a success", func(tr *crash.PartTracker) {
 			tr.Proved(req, at(0))
 			for num := range 3 {
-				tr.Interrupted(runOf(fmt.Sprint(num)), req, true, at(500+num*300))
+				tr.Interrupted(runOf(fmt.Sprint(num)), req, crash.StageBegun, at(500+num*300))
 			}
 		}, crash.Quarantined},
 		{"another request had begun", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), subjectOf("other"), true, at(0))
-			tr.Interrupted(runOf("a"), req, false, at(0))
+			tr.Interrupted(runOf("a"), subjectOf("other"), crash.StageBegun, at(0))
+			tr.Interrupted(runOf("a"), req, crash.StageWaiting, at(0))
 		}, crash.Allowed},
 		{"servers of a domain end together", func(tr *crash.PartTracker) {
 			for num, id := range []string{"a", "b", "c", "d"} {
-				tr.Interrupted(crash.ServerRun{ID: id, StartMillis: 1, Domain: "d1"}, req, true, at(20*num))
+				tr.Interrupted(crash.ServerRun{ID: id, StartMillis: 1, Domain: "d1"}, req, crash.StageBegun, at(20*num))
 			}
 		}, crash.Isolated},
 		{"servers of several domains end together after a success", func(tr *crash.PartTracker) {
@@ -153,32 +153,47 @@
 					held = subjectOf(core.PromptPart("other" + id))
 				}
 				tr.Proved(held, at(-1000))
-				tr.Interrupted(runOf(id), held, true, at(20*num))
+				tr.Interrupted(runOf(id), held, crash.StageBegun, at(20*num))
 			}
 		}, crash.Allowed},
 		{"a server that the request was taken back from ends", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), subjectOf("second"), true, at(0))
-			tr.Withdrawn(runOf("b"), subjectOf("second"), true, at(400))
-			tr.Interrupted(runOf("b"), subjectOf("other"), true, at(420))
+			tr.Interrupted(runOf("a"), subjectOf("second"), crash.StageBegun, at(0))
+			tr.Withdrawn(runOf("b"), subjectOf("second"), crash.StageBegun, at(400))
+			tr.Interrupted(runOf("b"), subjectOf("other"), crash.StageBegun, at(420))
 		}, crash.Quarantined},
 		{"a server that the request was taken back from goes on", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), req, true, at(0))
-			tr.Withdrawn(runOf("b"), req, true, at(400))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(0))
+			tr.Withdrawn(runOf("b"), req, crash.StageBegun, at(400))
 		}, crash.Isolated},
 		{"the server goes on", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(0))
 			tr.Retract(func(string) time.Time { return at(400) }, at(450))
 		}, crash.Allowed},
 		{"the server is back later", func(tr *crash.PartTracker) {
-			tr.Interrupted(runOf("a"), req, true, at(0))
+			tr.Interrupted(runOf("a"), req, crash.StageBegun, at(0))
 			tr.Retract(func(string) time.Time { return at(1400) }, at(1450))
 		}, crash.Isolated},
 		{"explained by another part", func(tr *crash.PartTracker) {
 			tr.Proved(subjectOf("first"), at(-5000))
 			for num := range 3 {
-				tr.Interrupted(runOf(fmt.Sprint(num)), subjectOf("first", "deadly"), true, at(num*300))
+				tr.Interrupted(runOf(fmt.Sprint(num)), subjectOf("first", "deadly"), crash.StageBegun, at(num*300))
 			}
 		}, crash.Allowed},
+		{"crashes after events beside a sound request that waits", func(tr *crash.PartTracker) {
+			tr.Proved(req, at(-5000))
+			for num := range 3 {
+				tr.Interrupted(runOf(fmt.Sprint(num)), subjectOf("first", "deadly"), crash.StageAnswered, at(num*300))
+				sound := crash.Subject{Shared: req.Shared, Own: core.PromptPart(fmt.Sprint("request-", num))}
+				tr.Interrupted(runOf(fmt.Sprint(num)), sound, crash.StageWaiting, at(num*300))
+			}
+		}, crash.Allowed},
+		{"crashes before an event beside a sound request that was answered", func(tr *crash.PartTracker) {
+			for num := range 2 {
+				tr.Interrupted(runOf(fmt.Sprint(num)), subjectOf("second"), crash.StageWaiting, at(num*300))
+				tr.Proved(subjectOf("first"), at(num*300-10))
+				tr.Interrupted(runOf(fmt.Sprint(num)), subjectOf("first"), crash.StageAnswered, at(num*300))
+			}
+		}, crash.Quarantined},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			tr := crash.NewPartTracker("n", crash.PartsConfig{})
@@ -198,7 +213,7 @@
 	tr.Proved(subjectOf("first"), now)
 	for num := range 2 {
 		now = now.Add(time.Second)
-		tr.Interrupted(runOf(fmt.Sprint(num)), req, true, now)
+		tr.Interrupted(runOf(fmt.Sprint(num)), req, crash.StageBegun, now)
 	}
 	decision := tr.Decide(req, now)
 	assert.Equal(t, decision.Disposition, crash.Quarantined)
@@ -213,7 +228,7 @@
 	now = now.Add(2 * time.Second)
 	assert.Assert(t, tr.StartTrial(req, now))
 	assert.Assert(t, !tr.StartTrial(req, now), "one trial at a time")
-	tr.Interrupted(runOf("2"), req, true, now)
+	tr.Interrupted(runOf("2"), req, crash.StageBegun, now)
 	tr.EndTrial()
 	decision = tr.Decide(req, now)
 	assert.Equal(t, decision.Disposition, crash.Quarantined)
@@ -232,8 +247,8 @@
 	now := time.Unix(1_000_000, 0)
 	req := subjectOf("deadly")
 	one, two, late := crash.NewPartTracker("1", crash.PartsConfig{}), crash.NewPartTracker("2", crash.PartsConfig{}), crash.NewPartTracker("3", crash.PartsConfig{})
-	one.Interrupted(runOf("a"), req, true, now)
-	two.Interrupted(runOf("b"), req, true, now.Add(time.Second))
+	one.Interrupted(runOf("a"), req, crash.StageBegun, now)
+	two.Interrupted(runOf("b"), req, crash.StageBegun, now.Add(time.Second))
 	now = now.Add(time.Second)
 	two.UpdatePeer("1", one.Export(now), now)
 	assert.Equal(t, two.Decide(req, now).Disposition, crash.Quarantined)
@@ -255,8 +270,8 @@
 	now := time.Unix(1_000_000, 0)
 	req := subjectOf("second")
 	one, two := crash.NewPartTracker("1", crash.PartsConfig{}), crash.NewPartTracker("2", crash.PartsConfig{})
-	one.Interrupted(runOf("a"), req, true, now)
-	two.Interrupted(runOf("a"), req, true, now)
+	one.Interrupted(runOf("a"), req, crash.StageBegun, now)
+	two.Interrupted(runOf("a"), req, crash.StageBegun, now)
 	now = now.Add(time.Second)
 	assert.Assert(t, one.StartTrial(req, now))
 	two.UpdatePeer("1", one.Export(now), now)
@@ -272,7 +287,7 @@
 	for num := range 10_000 {
 		part := core.PromptPart(fmt.Sprint(num))
 		tr.Proved(subjectOf("p"+part), now)
-		tr.Interrupted(runOf(fmt.Sprint(num/4)), subjectOf(part), true, now)
+		tr.Interrupted(runOf(fmt.Sprint(num/4)), subjectOf(part), crash.StageBegun, now)
 		now = now.Add(time.Millisecond)
 	}
 	report := tr.Export(now)
--- a/core/crash/partssim_test.go
+++ b/core/crash/partssim_test.go
@@ -336,7 +336,7 @@
 				return
 			}
 			if !events {
-				node.tracker.Interrupted(run, req.subject, begun, cl.now)
+				node.tracker.Interrupted(run, req.subject, stageOf(begun), cl.now)
 				cl.sendUrgent(node)
 			}
 			cl.detach(req)
@@ -400,7 +400,7 @@
 			continue
 		}
 		run := crash.ServerRun{ID: req.head.id, StartMillis: req.head.start, Domain: req.head.domain}
-		node.tracker.Withdrawn(run, req.subject, !req.begunAt.IsZero(), cl.now)
+		node.tracker.Withdrawn(run, req.subject, stageOf(!req.begunAt.IsZero()), cl.now)
 		cl.withdraw(req)
 		cl.detach(req)
 		cl.again(req)
@@ -455,3 +455,10 @@
 	node.round++
 	cl.sendReport(node, report, func(num int) bool { return num%rounds == node.round%rounds })
 }
+
+func stageOf(begun bool) crash.Stage {
+	if begun {
+		return crash.StageBegun
+	}
+	return crash.StageWaiting
+}
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -63,9 +63,12 @@
 }
 
 func (ev *evidence) contains(part core.PromptPart) bool {
-	_, begun := ev.begun.shared[part]
-	_, waiting := ev.waiting.shared[part]
-	return begun || waiting
+	for _, sub := range ev.stages {
+		if _, ok := sub.shared[part]; ok {
+			return true
+		}
+	}
+	return false
 }
 
 // triedByPeer reports whether a peer tries the part according to a report that is
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -68,6 +68,7 @@
 // recordProof records that the server answers the call beyond the point at which
 // servers crash, once for each call.
 func (attempt *attempt) recordProof() {
+	attempt.call.attemptProved.Store(true)
 	if !attempt.call.proved {
 		attempt.call.proved = true
 		attempt.forwarder.guard.proved(attempt.call)
@@ -285,10 +286,13 @@
 // recordBroken records that an attempt ended after the header of its response and not
 // because of the request.
 func (fwd *forwarder) recordBroken(call *call, tgt target, cause error) {
-	if tgt.server == nil || call.ctx.Err() != nil {
+	if tgt.server == nil {
 		return
 	}
 	fwd.recordInterrupted(call, tgt.server, cause, true)
+	if call.ctx.Err() != nil {
+		return
+	}
 	fwd.recordFailure(call, tgt.server, cause)
 }
 
@@ -297,7 +301,8 @@
 // sent to the next server before, or when the call ends.
 func (fwd *forwarder) recordInterrupted(call *call, srv *site.Server, cause error, begun bool) {
 	record := fwd.guard.interrupted(call, srv, cause, begun)
-	if record == nil {
+	// A server that has sent events may have broken off just this answer.
+	if record == nil || call.attemptEvents.Load() > 0 && fwd.reach.runs(call.ctx, srv) {
 		return
 	}
 	select {
@@ -352,6 +357,7 @@
 	ctx, cancel := context.WithCancelCause(call.ctx)
 	call.server.Store(srv)
 	call.attemptEvents.Store(0)
+	call.attemptProved.Store(false)
 	call.abortedBy.Store(nil)
 	call.recordProgress(now)
 	call.cancelAttempt.Store(&cancel)
--- a/entry/call.go
+++ b/entry/call.go
@@ -67,6 +67,9 @@
 	promptTokens, maxOutputTokens int
 	// subject is what the request may have in common with others.
 	subject crash.Subject
+	// attemptProved is set once the server of the current attempt has answered beyond the
+	// point at which servers crash.
+	attemptProved atomic.Bool
 	// proved is set once a server has answered beyond the point at which servers
 	// crash.
 	proved bool
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -31,16 +31,16 @@
 	maxSentAfterwards = 3
 )
 
-// crashOnPart makes the model servers crash when they begin to answer a request
-// with deadlyPart. They start again after crashRestartDelay.
-func (rig *testCluster) crashOnPart() {
+// crashOnPart makes the model servers crash when they answer a request with deadlyPart: when
+// they begin, or after a number of events. They start again after crashRestartDelay.
+func (rig *testCluster) crashOnPart(events int) {
 	for _, srv := range rig.engines {
 		srv.SetResponder(func(req *http.Request, _ int) platfk.Response {
 			if !strings.Contains(req.Header.Get(platform.HeaderPromptParts), deadlyPart) {
 				return platfk.Response{Delay: 30 * time.Millisecond}
 			}
-			time.AfterFunc(crashRestartDelay, srv.Restart)
-			return platfk.Response{Crash: true}
+			time.AfterFunc(time.Duration(events)*30*time.Millisecond+crashRestartDelay, srv.Restart)
+			return platfk.Response{Crash: events == 0, CrashAfter: events, Delay: 30 * time.Millisecond}
 		})
 	}
 }
@@ -56,10 +56,23 @@
 // TestCrashingPromptPart sends requests that have a part in common on which each
 // server crashes, and sound requests beside them. It guards against requests
 // that crash one server after another because each of them is new.
-func TestCrashingPromptPart(t *testing.T) {
+func TestCrashingPromptPart(t *testing.T) { playDeadlyPart(t, 0, 1) }
+
+// TestCrashAfterEvent does the same with servers that send two events before they crash. It
+// guards against such a crash that is no evidence against the request, while sound requests
+// that waited there are blamed.
+func TestCrashAfterEvent(t *testing.T) { playDeadlyPart(t, 2, 1) }
+
+// playDeadlyPart plays requests with deadlyPart, after a number of common parts, beside sound
+// ones. Servers crash after a number of events.
+func playDeadlyPart(t *testing.T, events, common int) {
 	rig := newTestCluster(t, 2, 8)
 	rig.waitReady()
-	rig.crashOnPart()
+	rig.crashOnPart(events)
+	var sb strings.Builder
+	for num := range common {
+		fmt.Fprintf(&sb, "%s%02x:20,", firstPart, num)
+	}
 	const rounds = 30
 	var wait sync.WaitGroup
 	var mtx sync.Mutex
@@ -69,12 +82,12 @@
 		wait.Add(2)
 		go func() {
 			defer wait.Done()
-			parts := fmt.Sprintf("%s:800,%s:400,own%d:250", firstPart, deadlyPart, num)
+			parts := fmt.Sprintf("%s%s:400,own%d:250", sb.String(), deadlyPart, num)
 			rig.post(node, "/stream/deadly", map[string]string{platform.HeaderPromptParts: parts})
 		}()
 		go func() {
 			defer wait.Done()
-			parts := fmt.Sprintf("%s:800,middle%d:400,own%d:250", firstPart, num%4, num)
+			parts := fmt.Sprintf("%smiddle%d:400,own%d:250", sb.String(), num%4, num)
 			resp := rig.post(node, "/stream/sound", map[string]string{platform.HeaderPromptParts: parts})
 			if resp.status == http.StatusOK && resp.complete {
 				mtx.Lock()
--- a/entry/crashguard.go
+++ b/entry/crashguard.go
@@ -70,32 +70,42 @@
 }
 
 // interrupted returns the function that records that the connection of a call to a server
-// ended before the first event, nil if the error does not show that.
+// ended before its answer was beyond the point at which servers crash, nil if the error does
+// not show that. A call that this node took back may still be the cause of a crash.
 func (guard *crashGuard) interrupted(call *call, srv *site.Server, err error, begun bool) func() {
 	code := core.CodeOf(err)
-	if call.abortedForPart() {
-		guard.withdrawn(call, srv, begun)
+	if call.attemptProved.Load() || code == core.CodeDialFailed || call.attemptEvents.Load() > 0 && call.service.Engine == nil {
 		return nil
 	}
-	if call.ctx.Err() != nil || call.abortedBy.Load() != nil || call.attemptEvents.Load() > 0 || code != core.CodeCutAnswer && code != core.CodeUnknownOutcome {
+	stage := crash.StageWaiting
+	switch {
+	case call.attemptEvents.Load() > 0:
+		stage = crash.StageAnswered
+	case begun:
+		stage = crash.StageBegun
+	}
+	if call.ctx.Err() != nil || call.abortedBy.Load() != nil {
+		guard.withdrawn(call, srv, stage)
+		return nil
+	}
+	if code != core.CodeCutAnswer && code != core.CodeUnknownOutcome {
 		return nil
 	}
 	at, subject := time.Now(), call.subject
 	return func() {
 		guard.mtx.Lock()
 		defer guard.mtx.Unlock()
-		guard.tracker.Interrupted(serverRun(srv), subject, begun, at)
+		guard.tracker.Interrupted(serverRun(srv), subject, stage, at)
 		guard.publishChanges(time.Now())
 	}
 }
 
-// withdrawn records that this node took a call back from a server because of a
-// part of its prompt.
-func (guard *crashGuard) withdrawn(call *call, srv *site.Server, begun bool) {
+// withdrawn records that this node took a call back from a server.
+func (guard *crashGuard) withdrawn(call *call, srv *site.Server, stage crash.Stage) {
 	now := time.Now()
 	guard.mtx.Lock()
 	defer guard.mtx.Unlock()
-	guard.tracker.Withdrawn(serverRun(srv), call.subject, begun, now)
+	guard.tracker.Withdrawn(serverRun(srv), call.subject, stage, now)
 	guard.publishChanges(now)
 }
 
--- a/entry/peerattempt.go
+++ b/entry/peerattempt.go
@@ -129,6 +129,7 @@
 	ctx, cancel := context.WithCancelCause(call.ctx)
 	call.server.Store(nil)
 	call.attemptEvents.Store(0)
+	call.attemptProved.Store(false)
 	call.abortedBy.Store(nil)
 	call.recordProgress(now)
 	call.cancelAttempt.Store(&cancel)
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -120,6 +120,15 @@
 	return sgn.decided
 }
 
+// runs reports whether a server responds as the process that it was.
+func (mon *reachMonitor) runs(ctx context.Context, srv *site.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	mon.metrics.probes.Inc()
+	report, err := mon.servers.Report(ctx, srv)
+	return err == nil && report.Server.StartMillis == srv.StartMillis
+}
+
 // wake makes run look for rounds that are due.
 func (mon *reachMonitor) wake() {
 	select {
