--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -68,4 +68,7 @@
 // crash at each of two nodes quarantines the request at both. A PartTracker also
 // exports the successes of suspected parts and all quarantines that it holds, so
 // that these outlive the node that saw the crashes.
+//
+// A report that does not hold all parts of a crash says so. Such a crash convicts
+// no part by the exclusion of the others.
 package crash
--- a/core/crash/evaluate.go
+++ b/core/crash/evaluate.go
@@ -22,6 +22,8 @@
 	run    ServerRun
 	at     time.Time
 	stages [numStages]subjects
+	// partial is set if a node does not know all parts.
+	partial bool
 	// companions are the crashes of the same moment, including this one.
 	companions []*crash
 }
@@ -94,6 +96,7 @@
 			if ev.at.Before(crs.at) {
 				crs.at = ev.at
 			}
+			crs.partial = crs.partial || ev.partial
 			for stage := range crs.stages {
 				crs.stages[stage].merge(ev.stages[stage])
 			}
@@ -217,6 +220,10 @@
 		return !crs.begun() && now.Sub(crs.at) < tr.cfg.SettleTime
 	})
 	tallies := tr.tallies(settled, kind)
+	unproven := map[*crash]int{}
+	for _, crs := range settled {
+		unproven[crs] = unprovenCandidates(crs, tallies, kind)
+	}
 	for _, part := range slices.Sorted(maps.Keys(tallies)) {
 		tly := tallies[part]
 		qua := tr.quarantines[part]
@@ -224,30 +231,40 @@
 		if qua.count > 0 && !last.at.After(qua.until) {
 			continue
 		}
-		if qua.count > 0 || tr.certain(part, tly, tallies, kind) {
+		if qua.count > 0 || tr.certain(part, tly, unproven) {
 			tr.startQuarantine(part, tly, now)
 		}
 	}
 }
 
+// unprovenCandidates returns the number of candidates of a crash without a recent success.
+func unprovenCandidates(crs *crash, tallies map[core.PromptPart]*tally, kind kindOf) int {
+	num := 0
+	for part := range crs.candidates(kind) {
+		if tly := tallies[part]; tly != nil && !tly.proven {
+			num++
+		}
+	}
+	return num
+}
+
 // certain reports whether a part crashes servers beyond reasonable doubt: it
 // was present in certainCrashes, or, if it is shared, in two crashes, in one of
 // which nothing else can be the cause. A proven part, which has a recent success,
-// needs certainCrashes of which nothing else can be the cause.
-func (tr *PartTracker) certain(part core.PromptPart, tly *tally, tallies map[core.PromptPart]*tally, kind kindOf) bool {
+// needs certainCrashes of which nothing else can be the cause. Where some parts are not
+// known, one of these can be. unproven holds the numbers of unproven candidates.
+func (tr *PartTracker) certain(part core.PromptPart, tly *tally, unproven map[*crash]int) bool {
 	alone, num := 0, 0
 	for _, crs := range tly.crashes {
 		if tr.explained(crs) && (tly.proven || !tr.explainedByRequest(crs)) {
 			continue
 		}
 		num++
-		others := 0
-		for other := range crs.candidates(kind) {
-			if rival := tallies[other]; other != part && rival != nil && !rival.proven {
-				others++
-			}
+		others := unproven[crs]
+		if !tly.proven {
+			others--
 		}
-		if others == 0 {
+		if others == 0 && !crs.partial {
 			alone++
 		}
 	}
--- a/core/crash/exchange.go
+++ b/core/crash/exchange.go
@@ -17,11 +17,15 @@
 	Quarantines []QuarantineReport                `cbor:"3,keyasint,omitempty"`
 	// Trial are the parts that the node tries.
 	Trial []core.PromptPart `cbor:"4,keyasint,omitempty"`
+	// AllParts is set by nodes that take all parts of a prompt into account.
+	AllParts bool `cbor:"5,keyasint,omitempty"`
+	// MoreProved are further successes. Nodes that don't set AllParts ignore them.
+	MoreProved map[core.PromptPart]time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // EndReport is the end of a server. Begun and Waiting are the shared parts of
 // the requests that had begun without an event and that had not begun, BegunOwn
-// and WaitingOwn these requests.
+// and WaitingOwn these requests. Parts without a recent success come first.
 type EndReport struct {
 	Run        ServerRun         `cbor:"1,keyasint"`
 	Age        time.Duration     `cbor:"2,keyasint"`
@@ -29,8 +33,10 @@
 	Waiting    []core.PromptPart `cbor:"4,keyasint,omitempty"`
 	BegunOwn   []core.PromptPart `cbor:"5,keyasint,omitempty"`
 	WaitingOwn []core.PromptPart `cbor:"6,keyasint,omitempty"`
+	// Partial is set if some of the parts are left out.
+	Partial bool `cbor:"7,keyasint,omitempty"`
 	// Answered are the shared parts of the requests that had just been answered,
-	// AnsweredOwn these requests.
+	// AnsweredOwn these requests. Nodes that don't set AllParts ignore them.
 	Answered    []core.PromptPart `cbor:"8,keyasint,omitempty"`
 	AnsweredOwn []core.PromptPart `cbor:"9,keyasint,omitempty"`
 }
@@ -60,12 +66,24 @@
 // Limits of a report, so that it fits into a datagram with the rest of a
 // heartbeat.
 const (
-	maxReportedCrashes = 12
-	maxReportedParts   = 24
-	maxReportedServers = 5
-	maxReportedProved  = 96
+	maxReportedCrashes     = 12
+	maxReportedQuarantines = 24
+	maxReportedServers     = 5
+	maxReportedProved      = 96
+	// maxPartBytes is the limit of all parts in the crashes of a report, in bytes, and
+	// maxProvedBytes that of the parts in MoreProved.
+	maxPartBytes   = 6 << 10
+	maxProvedBytes = 3 << 10
+	// maxReportedTrial is the number of parts of a trial, and of the parts that nodes read
+	// in a crash which don't set AllParts.
+	maxReportedTrial = 24
+	// maxParts is the number of parts of a crash that are taken over from a report.
+	maxParts = 8192
 )
 
+// reportedStages are the stages in the order in which their parts fit into a report.
+var reportedStages = [...]Stage{StageBegun, StageAnswered, StageWaiting}
+
 // peerParts is the last report of a peer. Its evidence stays until it expires
 // even if the peer ends.
 type peerParts struct {
@@ -85,26 +103,23 @@
 		return nil
 	}
 	tr.evaluate(now)
-	out := &PartsReport{Proved: map[core.PromptPart]time.Duration{}}
-	runs := slices.SortedFunc(maps.Keys(tr.crashes), func(one, two ServerRun) int { return tr.crashes[two].at.Compare(tr.crashes[one].at) })
-	for _, run := range runs[:min(len(runs), maxReportedCrashes)] {
-		ev := tr.crashes[run]
-		rep := EndReport{Run: run, Age: now.Sub(ev.at)}
-		for stage := range numStages {
-			shared, own := rep.lists(stage)
-			*shared, *own = firstParts(ev.stages[stage].shared), firstParts(ev.stages[stage].own)
-		}
-		out.Crashes = append(out.Crashes, rep)
-	}
+	out := &PartsReport{Proved: map[core.PromptPart]time.Duration{}, MoreProved: map[core.PromptPart]time.Duration{}, AllParts: true}
+	out.Crashes = tr.reportCrashes(now)
+	left := maxProvedBytes
 	for _, part := range append(slices.Sorted(maps.Keys(tr.quarantines)), slices.Sorted(maps.Keys(tr.mentioned))...) {
 		at := tr.proved.last(part)
-		if !at.IsZero() && len(out.Proved) < maxReportedProved {
+		switch {
+		case at.IsZero():
+		case len(out.Proved) < maxReportedProved:
 			out.Proved[part] = now.Sub(at)
+		case len(part) <= left:
+			left -= len(part)
+			out.MoreProved[part] = now.Sub(at)
 		}
 	}
 	for _, part := range slices.Sorted(maps.Keys(tr.quarantines)) {
 		qua := tr.quarantines[part]
-		if len(out.Quarantines) == maxReportedParts {
+		if len(out.Quarantines) == maxReportedQuarantines {
 			break
 		}
 		out.Quarantines = append(out.Quarantines, QuarantineReport{
@@ -112,7 +127,7 @@
 		})
 	}
 	if tr.onTrial {
-		out.Trial = tr.trial.Shared
+		out.Trial = tr.trialParts()
 	}
 	if len(out.Crashes) == 0 && len(out.Proved) == 0 && len(out.Quarantines) == 0 && len(out.Trial) == 0 {
 		return nil
@@ -120,10 +135,71 @@
 	return out
 }
 
-// firstParts returns at most maxReportedParts parts of a set, sorted.
-func firstParts(set map[core.PromptPart]struct{}) []core.PromptPart {
-	out := slices.Sorted(maps.Keys(set))
-	return out[:min(len(out), maxReportedParts)]
+// reportCrashes returns the newest crashes with the parts that fit into a report: those
+// without a recent success of all crashes, then the others.
+func (tr *PartTracker) reportCrashes(now time.Time) []EndReport {
+	runs := slices.SortedFunc(maps.Keys(tr.crashes), func(one, two ServerRun) int { return tr.crashes[two].at.Compare(tr.crashes[one].at) })
+	runs = runs[:min(len(runs), maxReportedCrashes)]
+	out := make([]EndReport, len(runs))
+	left := maxPartBytes
+	for _, proven := range []bool{false, true} {
+		for idx, run := range runs {
+			ev := tr.crashes[run]
+			rep := &out[idx]
+			rep.Run, rep.Age, rep.Partial = run, now.Sub(ev.at), rep.Partial || ev.partial
+			for _, stage := range reportedStages {
+				shared, own := rep.lists(stage)
+				all := tr.appendParts(shared, ev.stages[stage].shared, proven, &left, now)
+				all = tr.appendParts(own, ev.stages[stage].own, proven, &left, now) && all
+				rep.Partial = rep.Partial || !all
+			}
+		}
+	}
+	return out
+}
+
+// appendParts appends the parts of a set with or without a recent success to a list, as far
+// as they fit into the bytes that are left, and reports whether these are all.
+func (tr *PartTracker) appendParts(list *[]core.PromptPart, set map[core.PromptPart]struct{}, proven bool, left *int, now time.Time) bool {
+	for _, part := range slices.Sorted(maps.Keys(set)) {
+		if tr.proven(part, now) != proven {
+			continue
+		}
+		if len(part) > *left {
+			return false
+		}
+		*left -= len(part)
+		*list = append(*list, part)
+	}
+	return true
+}
+
+// proven reports whether a part has a recent success at any node.
+func (tr *PartTracker) proven(part core.PromptPart, now time.Time) bool {
+	last := tr.lastProved(part)
+	return !last.IsZero() && now.Sub(last) < tr.cfg.ProofTime
+}
+
+// compareBools orders false before true.
+func compareBools(one, two bool) int {
+	switch {
+	case one == two:
+		return 0
+	case two:
+		return -1
+	}
+	return 1
+}
+
+// trialParts returns the parts of the trial of this node, the suspected ones first.
+func (tr *PartTracker) trialParts() []core.PromptPart {
+	suspected := func(part core.PromptPart) bool {
+		_, ok := tr.suspects[part]
+		return ok
+	}
+	parts := slices.Clone(tr.trial.Shared)
+	slices.SortStableFunc(parts, func(one, two core.PromptPart) int { return compareBools(suspected(two), suspected(one)) })
+	return parts[:min(len(parts), maxReportedTrial)]
 }
 
 // HasPeers reports whether a peer has reported something that still counts.
@@ -142,29 +218,55 @@
 	}
 	peer := peerParts{crashes: map[ServerRun]*evidence{}, trial: report.Trial, expiresAt: now.Add(peerPartsTime)}
 	for _, rep := range report.Crashes[:min(len(report.Crashes), maxReportedCrashes)] {
-		ev := &evidence{at: now.Add(-max(0, rep.Age))}
+		ev := &evidence{at: now.Add(-max(0, rep.Age)), partial: rep.Partial || !report.AllParts && rep.full()}
 		if before := old.crashes[rep.Run]; before != nil && before.at.Before(ev.at) {
 			ev.at = before.at
 		}
-		for stage := range numStages {
+		for _, stage := range reportedStages {
 			shared, own := rep.lists(stage)
 			ev.stages[stage].addAll(*shared, *own)
 		}
 		peer.crashes[rep.Run] = ev
 	}
+	if len(report.Crashes) >= maxReportedCrashes {
+		peer.keepOlder(old)
+	}
 	tr.peers[from] = peer
 	tr.reported = tr.reported || peer.differs(old)
-	tr.adoptSuccesses(report.Proved, now)
-	for _, rep := range report.Quarantines[:min(len(report.Quarantines), maxReportedParts)] {
-		tr.adoptQuarantine(rep, now)
+	if len(report.Proved) <= maxReportedProved && len(report.MoreProved) <= maxProvedBytes {
+		tr.adoptSuccesses(report.Proved, now)
+		tr.adoptSuccesses(report.MoreProved, now)
+	}
+	for _, rep := range report.Quarantines[:min(len(report.Quarantines), maxReportedQuarantines)] {
+		// A node that doesn't take all parts into account may hold a sound one for the cause.
+		if report.AllParts || !tr.proven(rep.Part, now) {
+			tr.adoptQuarantine(rep, now)
+		}
 	}
 }
 
-// adoptSuccesses records the successes that a peer reported.
-func (tr *PartTracker) adoptSuccesses(proved map[core.PromptPart]time.Duration, now time.Time) {
-	if len(proved) > maxReportedProved {
+// full reports whether a list of the report holds as many parts as nodes report that don't
+// set AllParts, so that some may have been left out.
+func (rep EndReport) full() bool {
+	return max(len(rep.Begun), len(rep.Waiting), len(rep.BegunOwn), len(rep.WaitingOwn)) >= maxReportedTrial
+}
+
+// keepOlder keeps the crashes of a previous report that are older than those of a report
+// that holds no more.
+func (peer peerParts) keepOlder(old peerParts) {
+	if len(peer.crashes) == 0 {
 		return
 	}
+	oldest := slices.MinFunc(slices.Collect(maps.Values(peer.crashes)), func(one, two *evidence) int { return one.at.Compare(two.at) })
+	for run, ev := range old.crashes {
+		if peer.crashes[run] == nil && ev.at.Before(oldest.at) {
+			peer.crashes[run] = ev
+		}
+	}
+}
+
+// adoptSuccesses records the successes that a peer reported.
+func (tr *PartTracker) adoptSuccesses(proved map[core.PromptPart]time.Duration, now time.Time) {
 	for part, age := range proved {
 		at := now.Add(-max(0, age))
 		if at.Sub(tr.peerProved.last(part)) > provedTolerance {
@@ -224,8 +326,8 @@
 )
 
 func (sub *subjects) addAll(shared, own []core.PromptPart) {
-	sub.add(Subject{Shared: shared[:min(len(shared), maxReportedParts)]})
-	for _, part := range own[:min(len(own), maxReportedParts)] {
+	sub.add(Subject{Shared: shared[:min(len(shared), maxParts)]})
+	for _, part := range own[:min(len(own), maxParts)] {
 		sub.own[part] = struct{}{}
 	}
 }
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -53,13 +53,13 @@
 	defaultProofTime             = time.Minute
 	defaultMaxCrashes            = 32
 	defaultMaxQuarantined        = 64
-	defaultMaxProved             = 4096
+	defaultMaxProved             = 16384
 
 	// withdrawnTime is the time after which a server no longer ends because of a
 	// request that this node has taken back.
 	withdrawnTime = time.Second
 	// maxWithdrawn is the number of such requests that are kept.
-	maxWithdrawn = 64
+	maxWithdrawn = 256
 	// commonCauseWindow is the time within which the ends of several servers may
 	// have one cause, such as the loss of their fabric domain.
 	commonCauseWindow = 100 * time.Millisecond
@@ -113,6 +113,8 @@
 type evidence struct {
 	at     time.Time
 	stages [numStages]subjects
+	// partial is set if some of the parts are not known.
+	partial bool
 }
 
 // withdrawal is a request that this node took back from a server before its answer was
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"kumquathinge/core"
@@ -323,3 +324,90 @@
 		assert.Assert(t, afterwards <= maxSentLater, "%d requests sent at the end of the quarantine", afterwards)
 	}
 }
+
+// relay passes the crashes of a report on as a peer's, by its encoding.
+func relay(t *testing.T, from, to *crash.PartTracker, now time.Time) {
+	t.Helper()
+	raw, err := cbor.Marshal(from.Export(now))
+	assert.NilError(t, err)
+	var report crash.PartsReport
+	assert.NilError(t, cbor.Unmarshal(raw, &report))
+	report.Quarantines = nil
+	to.UpdatePeer("from", &report, now)
+}
+
+// TestManyPartsReported reports crashes of long prompts to a peer. It guards against a report
+// that lacks the deadly part, so that the peer convicts sound ones.
+func TestManyPartsReported(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, tt := range []struct {
+		common int
+		// needed is the number of crashes after which the peer convicts the part. A report
+		// that is short shows no part to be the only possible cause.
+		needed int
+	}{{40, 2}, {4000, 3}} {
+		t.Run(fmt.Sprint(tt.common), func(t *testing.T) {
+			var shared []core.PromptPart
+			for num := range tt.common {
+				shared = append(shared, core.PromptPart(fmt.Sprintf("%06x", num)))
+			}
+			sound := crash.Subject{Shared: shared, Own: "request-sound"}
+			deadly := crash.Subject{Shared: append(slices.Clone(shared), "zz-deadly"), Own: "request-deadly"}
+			one, two := crash.NewPartTracker("one", crash.PartsConfig{}), crash.NewPartTracker("two", crash.PartsConfig{})
+			one.Proved(sound, now)
+			two.Proved(sound, now)
+			for num := range 3 {
+				at := now.Add(time.Duration(num+1) * time.Second)
+				one.Interrupted(runOf(fmt.Sprint(num)), deadly, crash.StageBegun, at)
+				relay(t, one, two, at)
+				for tr, needed := range map[*crash.PartTracker]int{one: 2, two: tt.needed} {
+					assert.Equal(t, tr.Decide(sound, at).Disposition, crash.Allowed)
+					assert.Equal(t, tr.Decide(deadly, at).Disposition == crash.Quarantined, num+1 >= needed)
+				}
+			}
+		})
+	}
+}
+
+// TestPartialReports takes reports of nodes that leave parts out and don't say so. It guards
+// against a sound part that is convicted by the exclusion of others, here or by the peer.
+func TestPartialReports(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	sound := subjectOf("000000", "own")
+	tr := crash.NewPartTracker("n", crash.PartsConfig{})
+	tr.Proved(sound, now)
+	var parts []core.PromptPart
+	for num := range 24 {
+		parts = append(parts, core.PromptPart(fmt.Sprintf("%06x", num)))
+	}
+	tr.Proved(crash.Subject{Shared: parts}, now)
+	report := crash.PartsReport{Quarantines: []crash.QuarantineReport{{Part: "000000", Left: time.Minute, Count: 1}}}
+	for num := range 4 {
+		now = now.Add(time.Second)
+		report.Crashes = append(report.Crashes, crash.EndReport{Run: runOf(fmt.Sprint(num)), Begun: parts})
+		tr.UpdatePeer("old", &report, now)
+		assert.Equal(t, tr.Decide(sound, now).Disposition, crash.Allowed)
+	}
+}
+
+// BenchmarkManyParts decides on a prompt with thousands of parts while crashes of such
+// prompts are evaluated.
+func BenchmarkManyParts(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	tr := crash.NewPartTracker("n", crash.PartsConfig{})
+	var shared []core.PromptPart
+	for num := range 4000 {
+		shared = append(shared, core.PromptPart(fmt.Sprintf("%06x", num)))
+	}
+	req := crash.Subject{Shared: shared, Own: "request"}
+	for num := range 8 {
+		tr.Interrupted(runOf(fmt.Sprint(num)), req, crash.StageBegun, now)
+	}
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		tr.Decide(req, now)
+		if now.Unix() > 1_000_020 {
+			now = time.Unix(1_000_000, 0)
+		}
+	}
+}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -63,6 +63,10 @@
 // that waited there are blamed.
 func TestCrashAfterEvent(t *testing.T) { playDeadlyPart(t, 2, 1) }
 
+// TestLateDeadlyPart does the same with a part that comes after many others. It guards against
+// a part that is left out of the evidence, so that sound ones are blamed.
+func TestLateDeadlyPart(t *testing.T) { playDeadlyPart(t, 0, 60) }
+
 // playDeadlyPart plays requests with deadlyPart, after a number of common parts, beside sound
 // ones. Servers crash after a number of events.
 func playDeadlyPart(t *testing.T, events, common int) {
--- a/entry/crashguard.go
+++ b/entry/crashguard.go
@@ -248,14 +248,21 @@
 	if len(changes) > 0 {
 		notify(guard.partsChanged)
 	}
-	for _, change := range changes {
+	for num, change := range changes {
 		guard.metrics.recordCrashChange(change.Kind.String())
+		if num >= maxLoggedChanges {
+			continue
+		}
 		guard.log.WithFields(logrus.Fields{
 			"event": "part_" + change.Kind.String(), "part": change.Part, "servers": change.Servers, "for": max(0, change.Until.Sub(now)),
 		}).Warn(changeMessages[change.Kind])
 	}
 }
 
+// maxLoggedChanges is the number of changes at one moment that are logged. A prompt may have
+// thousands of parts.
+const maxLoggedChanges = 16
+
 var changeMessages = map[crash.PartChangeKind]string{
 	crash.PartSuspected:   "a server ended under a part of a prompt; requests with it wait for a trial",
 	crash.PartQuarantined: "servers ended under a part of prompts; requests with it are refused",
