--- a/core/site/server.go
+++ b/core/site/server.go
@@ -164,6 +164,8 @@
 	// disable this.
 	RelayPort   int
 	MemoryBytes int64
+	// MaxFds is the limit of descriptors of the process, zero if there is none.
+	MaxFds int
 	// StopGrace is the time between a stop request and the forced end of the
 	// process.
 	StopGrace time.Duration
--- a/entry/body.go
+++ b/entry/body.go
@@ -50,6 +50,9 @@
 	if size > maxBodySize {
 		return core.Errorf(core.CodeTooLarge, "the body has %d bytes, %d at most are allowed", size, maxBodySize)
 	}
+	if conn != nil {
+		conn.BodyBegun(readTimeout)
+	}
 	// Ends the read when the call ends.
 	interrupt := func() {}
 	if conn != nil {
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -56,6 +56,12 @@
 	keepAlive bool
 	// memoryBytes is the memory of the nodes' VMs, zero for no limit.
 	memoryBytes int64
+	// maxFds is the limit of descriptors that the nodes' settings state, zero for none.
+	maxFds int
+	// idleTimeout and headerTimeout are those of the configuration.
+	idleTimeout, headerTimeout time.Duration
+	// listen opens the listeners for callers, nil for TCP.
+	listen func(ctx context.Context, addr string) (net.Listener, error)
 	// stepTime is the time per token that the configuration states for model servers.
 	stepTime time.Duration
 	// metricsPort is the port of the nodes' metrics, zero to disable.
@@ -147,14 +153,14 @@
 		StoreAddr: node.gate.Addr(), PeerPort: 18083, RelayPort: 18090, StopGrace: stopGrace,
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 2,
 	}
-	node.settings.MemoryBytes = rig.memoryBytes
+	node.settings.MemoryBytes, node.settings.MaxFds = rig.memoryBytes, rig.maxFds
 	if rig.noRetries {
 		node.settings.RetryRatio, node.settings.RetrySlack = 0, 0
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	node.stop = cancel
 	rig.nodes = append(rig.nodes, node)
-	opts := entry.Options{Log: logOutput, DrainDelay: drainDelay, MetricsPort: rig.metricsPort}
+	opts := entry.Options{Log: logOutput, DrainDelay: drainDelay, MetricsPort: rig.metricsPort, Listen: rig.listen}
 	if rig.cuttable {
 		opts.Dial = node.links.dial
 	}
@@ -174,6 +180,7 @@
 	raw, err := platfk.ConfigDocument{
 		Version: version, Routes: append([]site.Route{stream, charge, newRoute("read", site.KindIdempotent, "plain")}, more...),
 		ModelService: "engines", PlainService: "plain", Slots: 8, StepTime: rig.stepTime, Model: model, Size: 2, Org: org, APIKey: key, Cold: rig.cold,
+		HeaderTimeout: rig.headerTimeout, IdleTimeout: rig.idleTimeout,
 	}.Encode()
 	assert.NilError(rig.t, err)
 	rig.store.Append(platform.TopicOperator, platform.KeyConfig, raw)
--- a/entry/frontend.go
+++ b/entry/frontend.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -28,10 +29,10 @@
 	// maxBodySize is the largest request body in bytes.
 	maxBodySize = 8 << 20
 	// idleTimeout is the time after which an unused connection is closed, also before
-	// its first request. It exceeds the idle timeouts that configurations set for
-	// callers.
+	// its first request, unless the configuration sets another one.
 	idleTimeout = 60 * time.Second
-	// readTimeout is the time from its first byte within which a request must arrive.
+	// readTimeout is the time from its first byte within which a request must arrive. For
+	// the header, the configuration may set another one.
 	readTimeout = 10 * time.Second
 	// maxSkippedResponse is the largest response to an earlier request that is skipped, in
 	// bytes.
@@ -48,6 +49,7 @@
 	// server serves callers, relayServer peers that relay requests of their callers.
 	server, relayServer *fasthttp.Server
 	active              *activeConns
+	callers             *callerConns
 	// quota limits the bytes that are held for callers and servers.
 	quota *quota.Quota
 	// draining makes the node not ready and closes each connection after its
@@ -59,9 +61,13 @@
 }
 
 func newFrontend(state *sharedState, fwd *forwarder, monitor *callMonitor, log *logrus.Logger, meter *nodeMetrics, qta *quota.Quota) *frontend {
-	front := &frontend{state: state, forwarder: fwd, monitor: monitor, log: log, metrics: meter, active: newActiveConns(qta), quota: qta}
+	front := &frontend{state: state, forwarder: fwd, monitor: monitor, log: log, metrics: meter, active: newActiveConns(qta), callers: newCallerConns(meter.callerConnsClosed.Add), quota: qta}
 	meter.observeQuota(qta)
 	front.server = front.newServer(func(reqCtx *fasthttp.RequestCtx) { front.handle(reqCtx, false) })
+	front.server.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
+		front.active.setState(conn, state)
+		front.callers.setState(conn, state)
+	}
 	front.relayServer = front.newServer(func(reqCtx *fasthttp.RequestCtx) { front.handle(reqCtx, true) })
 	return front
 }
@@ -82,6 +88,25 @@
 	}
 }
 
+// timeouts returns the time after which an unused connection is closed, and the time within
+// which a header must arrive, as the configuration in force sets them.
+func (front *frontend) timeouts() (idle, read time.Duration) {
+	idle, read = idleTimeout, readTimeout
+	table := front.state.table.Load()
+	if table == nil {
+		return idle, read
+	}
+	cfg := table.Config()
+	return cmp.Or(cfg.IdleTimeout, idle), cmp.Or(cfg.HeaderTimeout, read)
+}
+
+// exhausted frees descriptors when a connection can't be accepted for lack of resources.
+func (front *frontend) exhausted(err error) {
+	front.metrics.callerConnErrors.Inc()
+	front.callers.free()
+	front.log.WithFields(logrus.Fields{"event": "accept", "error": err}).Error("a connection can't be accepted; closing unused ones")
+}
+
 // readinessServer returns the server for the load balancer's readiness checks.
 func (front *frontend) readinessServer() *fasthttp.Server {
 	mux := router.New()
--- a/entry/metric.go
+++ b/entry/metric.go
@@ -23,6 +23,8 @@
 	logDropped *metrics.Counter
 	// callerConnErrors counts the connections of callers that ended with an error.
 	callerConnErrors *metrics.Counter
+	// callerConnsClosed counts the unused connections of callers that were closed for others.
+	callerConnsClosed *metrics.Counter
 	// serverPauses counts the pauses that servers asked for, serversLeaving the servers
 	// that said in an answer that they leave.
 	serverPauses, serversLeaving *metrics.Counter
@@ -52,22 +54,23 @@
 func newNodeMetrics() *nodeMetrics {
 	set := metrics.NewSet()
 	meter := &nodeMetrics{
-		set:              set,
-		probes:           set.NewCounter("kumquathinge_probes_total"),
-		peerErrors:       set.NewCounter("kumquathinge_peer_errors_total"),
-		panics:           set.NewCounter("kumquathinge_panics_total"),
-		logDropped:       set.NewCounter("kumquathinge_log_lines_dropped_total"),
-		callerConnErrors: set.NewCounter("kumquathinge_caller_connection_errors_total"),
-		serverPauses:     set.NewCounter("kumquathinge_server_pauses_total"),
-		reachProbes:      set.NewCounter("kumquathinge_reach_probes_total"),
-		lostServices:     set.NewGauge("kumquathinge_lost_services", nil),
-		skippedResponses: set.NewCounter("kumquathinge_skipped_responses_total"),
-		serversLeaving:   set.NewCounter("kumquathinge_servers_leaving_total"),
-		coldHeldBack:     set.NewCounter("kumquathinge_cold_held_back_total"),
-		coldRefused:      set.NewCounter("kumquathinge_cold_redecided_total"),
-		coldServers:      set.NewGauge("kumquathinge_cold_servers", nil),
-		servers:          set.NewGauge("kumquathinge_servers", nil),
-		configVersion:    set.NewGauge("kumquathinge_configuration_version", nil),
+		set:               set,
+		probes:            set.NewCounter("kumquathinge_probes_total"),
+		peerErrors:        set.NewCounter("kumquathinge_peer_errors_total"),
+		panics:            set.NewCounter("kumquathinge_panics_total"),
+		logDropped:        set.NewCounter("kumquathinge_log_lines_dropped_total"),
+		callerConnErrors:  set.NewCounter("kumquathinge_caller_connection_errors_total"),
+		callerConnsClosed: set.NewCounter("kumquathinge_caller_connections_closed_total"),
+		serverPauses:      set.NewCounter("kumquathinge_server_pauses_total"),
+		reachProbes:       set.NewCounter("kumquathinge_reach_probes_total"),
+		lostServices:      set.NewGauge("kumquathinge_lost_services", nil),
+		skippedResponses:  set.NewCounter("kumquathinge_skipped_responses_total"),
+		serversLeaving:    set.NewCounter("kumquathinge_servers_leaving_total"),
+		coldHeldBack:      set.NewCounter("kumquathinge_cold_held_back_total"),
+		coldRefused:       set.NewCounter("kumquathinge_cold_redecided_total"),
+		coldServers:       set.NewGauge("kumquathinge_cold_servers", nil),
+		servers:           set.NewGauge("kumquathinge_servers", nil),
+		configVersion:     set.NewGauge("kumquathinge_configuration_version", nil),
 	}
 	set.NewGauge("kumquathinge_heap_bytes", func() float64 {
 		var mem runtime.MemStats
--- a/entry/node.go
+++ b/entry/node.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -72,6 +73,8 @@
 	SettingsPath string
 	// Log is the log output, standard output if nil.
 	Log io.Writer
+	// Listen opens the listener for callers. Nil selects TCP.
+	Listen func(ctx context.Context, addr string) (net.Listener, error)
 	// Dial opens connections to backend servers. Nil selects a net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// DrainDelay is how long a stopping node accepts requests after it turns
@@ -79,6 +82,18 @@
 	DrainDelay time.Duration
 }
 
+// withDefaults returns the options with the defaults in place of zero values.
+func (opts Options) withDefaults() Options {
+	if opts.Log == nil {
+		opts.Log = os.Stdout
+	}
+	if opts.Listen == nil {
+		opts.Listen = listen
+	}
+	opts.DrainDelay = cmp.Or(opts.DrainDelay, drainDelay)
+	return opts
+}
+
 // Node is the daemon of an entry VM.
 type Node struct {
 	options   Options
@@ -102,12 +117,7 @@
 func New(opts Options, settings site.Settings) *Node {
 	node := &Node{metrics: newNodeMetrics()}
 	node.settings.Store(&settings)
-	if opts.Log == nil {
-		opts.Log = os.Stdout
-	}
-	if opts.DrainDelay == 0 {
-		opts.DrainDelay = drainDelay
-	}
+	opts = opts.withDefaults()
 	node.options = opts
 	node.log, node.logWriter = newLogger(opts.Log, settings.Node, node.metrics.logDropped.Inc)
 	now := time.Now()
@@ -124,6 +134,7 @@
 	node.monitor = newCallMonitor(fwd, node.log)
 	fwd.reach = newReachMonitor(node.monitor, node.pools, node.log, node.metrics)
 	node.frontend = newFrontend(node.state, fwd, node.monitor, node.log, node.metrics, fwd.quota)
+	node.frontend.callers.limit = func() int { return maxCallerConns(node.settings.Load().MaxFds) }
 	node.peers = newPeers(node.state, loads, fwd.guard, health, node.log, node.metrics, self, node.frontend.draining.Load)
 	node.peers.reach, fwd.peers, node.peers.relayAddr = fwd.reach, node.peers, relayAddr(settings)
 	node.peers.arrivals = &arrivalRate{count: node.frontend.requestCount.Load}
@@ -199,10 +210,11 @@
 }
 
 // Run serves until ctx is done or the process receives SIGTERM or SIGINT. All tasks go on
-// until the requests that are open then have ended.
+// until the requests that are open then have ended. If a task ends by itself, so do the others
+// and Run, at once and with an error: without one of them a node would work with old state.
 func (node *Node) Run(ctx context.Context) error {
 	settings := node.settings.Load()
-	callers, err := listen(ctx, settings.CallerAddr)
+	callers, err := node.options.Listen(ctx, settings.CallerAddr)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
@@ -215,28 +227,9 @@
 		return eris.Wrap(err, "listening for peers")
 	}
 	var grp run.Group
-	add := func(task func(context.Context) error) {
-		taskCtx, cancel := context.WithCancel(context.Background())
-		grp.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
-	}
-	add(node.logWriter.run)
-	add(node.registry.run)
-	add(node.frontend.forwarder.resumed.run)
-	for _, follower := range node.followers {
-		add(follower.run)
-	}
-	add(node.registrar.run)
-	add(node.peers.runHeartbeats)
-	add(node.peers.runUrgentHeartbeats)
-	add(node.monitor.runPartChecks)
-	add(node.peers.receive)
-	add(node.orderer.run)
-	add(node.monitor.run)
-	add(node.frontend.forwarder.reach.run)
-	add(node.pruneConns)
-	add(node.watchSettings)
-	node.addServer(&grp, node.frontend.server, sock.Listener{Listener: callers, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
-	node.addServer(&grp, node.frontend.readinessServer(), ready)
+	node.addTasks(&grp)
+	node.addServer(&grp, node.frontend.server, node.callerListener(callers))
+	node.addServer(&grp, node.frontend.readinessServer(), sock.Listener{Listener: ready, Exhausted: node.frontend.exhausted})
 	err = node.addRelay(ctx, &grp)
 	if err != nil {
 		return err
@@ -249,17 +242,73 @@
 	if err != nil {
 		return err
 	}
-	grp.Add(func() error { return node.awaitStop(ctx) }, func(error) {})
+	node.addStop(ctx, &grp)
 	node.log.WithFields(logrus.Fields{
 		"event": "start", "zone": settings.Zone, "callers": settings.CallerAddr, "readiness": settings.ReadinessAddr, "store": settings.StoreAddr, "peers": node.peers.self.Addr, "life": node.peers.self.Incarnation,
 	}).Info("node started")
 	return grp.Run()
 }
 
+// addTasks adds the tasks of the node but for its servers.
+func (node *Node) addTasks(grp *run.Group) {
+	node.addTask(grp, "log", node.logWriter.run)
+	node.addTask(grp, "registry", node.registry.run)
+	node.addTask(grp, "resumption", node.frontend.forwarder.resumed.run)
+	for _, follower := range node.followers {
+		node.addTask(grp, "follower of "+follower.topic, follower.run)
+	}
+	node.addTask(grp, "registrar", node.registrar.run)
+	node.addTask(grp, "heartbeats", node.peers.runHeartbeats)
+	node.addTask(grp, "urgent heartbeats", node.peers.runUrgentHeartbeats)
+	node.addTask(grp, "part checks", node.monitor.runPartChecks)
+	node.addTask(grp, "datagrams", node.peers.receive)
+	node.addTask(grp, "orderer", node.orderer.run)
+	node.addTask(grp, "calls", node.monitor.run)
+	node.addTask(grp, "reach", node.frontend.forwarder.reach.run)
+	node.addTask(grp, "connections", node.pruneConns)
+	node.addTask(grp, "settings", node.watchSettings)
+}
+
+// addTask adds a task that ends with its context. If it ends before, the group does.
+func (node *Node) addTask(grp *run.Group, name string, task func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	grp.Add(func() error {
+		err := task(ctx)
+		if ctx.Err() == nil {
+			return node.taskEnded(name, err)
+		}
+		return err
+	}, func(error) { cancel() })
+}
+
+// taskEnded logs that a task has ended by itself, and returns the error that ends the group.
+func (node *Node) taskEnded(name string, cause error) error {
+	node.log.WithFields(logrus.Fields{"event": "task_ended", "task": name, "error": cause}).Error("a task has ended by itself; the process ends")
+	return eris.Errorf("task %q has ended: %v", name, cause)
+}
+
+// addStop adds the task that ends the group on a stop signal. If another task ends first, it
+// ends at once: the requests that are open can't be completed without that task.
+func (node *Node) addStop(ctx context.Context, grp *run.Group) {
+	interrupted, interrupt := context.WithCancel(context.Background())
+	grp.Add(func() error { return node.awaitStop(ctx, interrupted) }, func(error) { interrupt() })
+}
+
+// callerListener returns a listener for callers with the time limits of the configuration.
+func (node *Node) callerListener(lis net.Listener) net.Listener {
+	return sock.Listener{Listener: lis, Timeouts: node.frontend.timeouts, Exhausted: node.frontend.exhausted}
+}
+
 // addServer adds an HTTP server for callers on lis. When the group stops, its
 // requests have ended, so only the listener is closed.
 func (node *Node) addServer(grp *run.Group, srv *fasthttp.Server, lis net.Listener) {
-	grp.Add(func() error { return srv.Serve(lis) }, func(error) { _ = lis.Close() })
+	grp.Add(func() error {
+		err := srv.Serve(lis)
+		if err != nil {
+			return node.taskEnded("server at "+lis.Addr().String(), err)
+		}
+		return nil
+	}, func(error) { _ = lis.Close() })
 }
 
 // addRelay adds the server for requests that peers relay, if there is a port for it.
@@ -271,7 +320,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for relayed requests")
 	}
-	node.addServer(grp, node.frontend.relayServer, sock.Listener{Listener: lis, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
+	node.addServer(grp, node.frontend.relayServer, sock.Listener{Listener: lis, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, Exhausted: node.frontend.exhausted})
 	return nil
 }
 
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -44,11 +44,14 @@
 // request is read or answered any more, or the grace period is nearly over. Requests whose
 // response has not begun by then are answered with an error. A request that has ended may
 // still have a response to be written.
-func (node *Node) awaitStop(ctx context.Context) error {
+// It also returns, without any of this, when interrupted is done.
+func (node *Node) awaitStop(ctx, interrupted context.Context) error {
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(sig)
 	select {
+	case <-interrupted.Done():
+		return nil
 	case <-ctx.Done():
 	case <-sig:
 	}
@@ -65,12 +68,12 @@
 	}).Info("stopping; no longer ready, in-flight requests continue")
 	leave := sync.OnceFunc(func() { node.registrar.deregister(context.Background()) })
 	var leaving sync.WaitGroup
-	for phase := drain.Accepting; phase != drain.Ended; phase = stop.Phase(time.Now(), node.frontend.active.count()) {
+	for phase := drain.Accepting; phase != drain.Ended && interrupted.Err() == nil; phase = stop.Phase(time.Now(), node.frontend.active.count()) {
 		if phase == drain.Answering {
 			leaving.Go(leave)
 			node.monitor.answerOpen()
 		}
-		sleep(context.Background(), shutdownPollInterval)
+		sleep(interrupted, shutdownPollInterval)
 	}
 	leaving.Go(leave)
 	leaving.Wait()
--- a/io/sock/listener.go
+++ b/io/sock/listener.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,25 +20,65 @@
 	// before its first request as well. ReadTimeout is the time from its first byte within
 	// which a request must arrive.
 	IdleTimeout, ReadTimeout time.Duration
+	// Timeouts returns the two when a connection needs them. Nil selects the fields.
+	Timeouts func() (idle, read time.Duration)
+	// Exhausted is called when the process lacks the resources for a connection, before the
+	// next try. Nil disables this.
+	Exhausted func(err error)
 }
 
-// Accept returns the next connection.
+// acceptRetryInterval is the time from an accept that failed for now to the next one.
+const acceptRetryInterval = 20 * time.Millisecond
+
+// Accept returns the next connection. It returns an error only if the listener can't accept
+// any more connections: others concern one connection, or the resources of the process.
 func (lis Listener) Accept() (net.Conn, error) {
-	raw, err := lis.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := lis.Listener.Accept()
+		if err == nil {
+			return lis.wrap(raw), nil
+		}
+		if !oneOf(err, failedConns) && !oneOf(err, exhaustion) {
+			return nil, err
+		}
+		if lis.Exhausted != nil && oneOf(err, exhaustion) {
+			lis.Exhausted(err)
+		}
+		time.Sleep(acceptRetryInterval)
+	}
+}
+
+// wrap returns the connection with its time limits.
+func (lis Listener) wrap(raw net.Conn) net.Conn {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok {
+		return raw
+	}
+	timeouts := lis.Timeouts
+	if timeouts == nil {
+		timeouts = func() (idle, read time.Duration) { return lis.IdleTimeout, lis.ReadTimeout }
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok {
-		return &Conn{TCPConn: tcp, idleTimeout: lis.IdleTimeout, readTimeout: lis.ReadTimeout}, nil
+	return &Conn{TCPConn: tcp, timeouts: timeouts}
+}
+
+// Errors of accept(2) that do not end a listener.
+var (
+	failedConns = []syscall.Errno{
+		syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EAGAIN, syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN, syscall.ENOPROTOOPT,
+		syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
 	}
-	return raw, nil
+	exhaustion = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+)
+
+func oneOf(err error, errnos []syscall.Errno) bool {
+	return slices.ContainsFunc(errnos, func(errno syscall.Errno) bool { return errors.Is(err, errno) })
 }
 
 // Conn is a connection of a Listener. Its read deadline is that of the next request while
 // there is none, and then that of the request.
 type Conn struct {
 	*net.TCPConn
-	idleTimeout, readTimeout time.Duration
+	timeouts func() (idle, read time.Duration)
 	// waiting is set while no byte of a request has arrived.
 	waiting atomic.Bool
 }
@@ -48,16 +90,23 @@
 	if !ok {
 		return
 	}
+	idle, read := conn.timeouts()
 	switch state {
 	case fasthttp.StateNew, fasthttp.StateIdle:
 		conn.waiting.Store(true)
-		_ = conn.SetReadDeadline(time.Now().Add(conn.idleTimeout))
+		_ = conn.SetReadDeadline(time.Now().Add(idle))
 	case fasthttp.StateActive:
 		conn.waiting.Store(false)
-		_ = conn.SetReadDeadline(time.Now().Add(conn.readTimeout))
+		_ = conn.SetReadDeadline(time.Now().Add(read))
 	}
 }
 
+// BodyBegun sets the time limit of a request whose header was read. Errors show in the next
+// read.
+func (conn *Conn) BodyBegun(timeout time.Duration) {
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
 // RequestRead ends the time limit of a request that was read completely. Errors show in the
 // next read.
 func (conn *Conn) RequestRead() { _ = conn.SetReadDeadline(time.Time{}) }
--- a/io/sock/listener_test.go
+++ b/io/sock/listener_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +80,41 @@
 		})
 	}
 }
+
+// failures is a listener whose first accepts fail.
+type failures struct {
+	net.Listener
+	errs []error
+}
+
+// Accept implements net.Listener.
+func (lis *failures) Accept() (net.Conn, error) {
+	if len(lis.errs) > 0 {
+		err := lis.errs[0]
+		lis.errs = lis.errs[1:]
+		return nil, &net.OpError{Op: "accept", Err: err}
+	}
+	return lis.Listener.Accept()
+}
+
+// TestAcceptGoesOn guards against a listener that ends for an error of one connection, or since
+// no descriptor is left for now.
+func TestAcceptGoesOn(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, raw.Close()) }()
+	conn, err := net.Dial("tcp", raw.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	exhausted := 0
+	lis := sock.Listener{
+		Listener:  &failures{Listener: raw, errs: []error{os.NewSyscallError("accept4", syscall.EMFILE), syscall.ECONNABORTED, syscall.ENOMEM}},
+		Exhausted: func(error) { exhausted++ },
+	}
+	accepted, err := lis.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+	assert.Equal(t, exhausted, 2)
+	_, err = sock.Listener{Listener: &failures{Listener: raw, errs: []error{net.ErrClosed}}}.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
--- a/io/sock/sock.go
+++ b/io/sock/sock.go
@@ -2,7 +2,6 @@
 package sock
 
 import (
-	"errors"
 	"net"
 	"syscall"
 )
@@ -57,12 +56,7 @@
 
 // ended reports whether an error of a socket means that its connection has ended.
 func ended(err error) bool {
-	for _, errno := range []syscall.Errno{
+	return oneOf(err, []syscall.Errno{
 		syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENOTCONN, syscall.ECONNABORTED, syscall.EBADF,
-	} {
-		if errors.Is(err, errno) {
-			return true
-		}
-	}
-	return false
+	})
 }
