--- a/entry/body.go
+++ b/entry/body.go
@@ -56,7 +56,7 @@
 	// Ends the read when the call ends.
 	interrupt := func() {}
 	if conn != nil {
-		interrupt = func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
+		interrupt = conn.Interrupt
 	}
 	stop := context.AfterFunc(call.ctx, interrupt)
 	body, err := front.readInto(stream, size, call)
--- a/io/sock/listener.go
+++ b/io/sock/listener.go
@@ -81,6 +81,8 @@
 	timeouts func() (idle, read time.Duration)
 	// waiting is set while no byte of a request has arrived.
 	waiting atomic.Bool
+	// interrupted is set while reads are to end at once.
+	interrupted atomic.Bool
 }
 
 // FollowState sets the read deadline of a connection of a Listener. Others are left as they
@@ -91,6 +93,7 @@
 		return
 	}
 	idle, read := conn.timeouts()
+	conn.interrupted.Store(false)
 	switch state {
 	case fasthttp.StateNew, fasthttp.StateIdle:
 		conn.waiting.Store(true)
@@ -107,16 +110,51 @@
 	_ = conn.SetReadDeadline(time.Now().Add(timeout))
 }
 
+// Interrupt ends reads of a request at once, until RequestRead is called. Errors show in the
+// next read.
+func (conn *Conn) Interrupt() {
+	conn.interrupted.Store(true)
+	_ = conn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // RequestRead ends the time limit of a request that was read completely. Errors show in the
 // next read.
-func (conn *Conn) RequestRead() { _ = conn.SetReadDeadline(time.Time{}) }
+func (conn *Conn) RequestRead() {
+	conn.interrupted.Store(false)
+	_ = conn.SetReadDeadline(time.Time{})
+}
 
-// Read reads from the connection. The end of the idle time is reported as a local close,
-// for which the HTTP server sends no response.
+// Read reads from the connection. Data that has arrived by the deadline is read also after it:
+// this process may have run late, and not the peer. The end of the idle time is reported as a
+// local close, for which the HTTP server sends no response.
 func (conn *Conn) Read(buf []byte) (int, error) {
 	num, err := conn.TCPConn.Read(buf)
-	if errors.Is(err, os.ErrDeadlineExceeded) && conn.waiting.Load() {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return num, err
+	}
+	if !conn.interrupted.Load() {
+		if num = conn.readArrived(buf); num > 0 {
+			return num, nil
+		}
+	}
+	if conn.waiting.Load() {
 		err = net.ErrClosed
 	}
-	return num, err
+	return 0, err
+}
+
+// readArrived reads what the socket holds, without a wait. It returns 0 if there is nothing,
+// or if that can't be read.
+func (conn *Conn) readArrived(buf []byte) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	num := 0
+	// RawConn.Read fails once the read deadline has passed, RawConn.Control does not.
+	err = raw.Control(func(fd uintptr) { num, _, err = syscall.Recvfrom(int(fd), buf, syscall.MSG_DONTWAIT) })
+	if err != nil {
+		return 0
+	}
+	return max(0, num)
 }
--- a/io/sock/listener_test.go
+++ b/io/sock/listener_test.go
@@ -118,3 +118,30 @@
 	_, err = sock.Listener{Listener: &failures{Listener: raw, errs: []error{net.ErrClosed}}}.Accept()
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// TestDataBeforeDeadline lets the deadlines of connections pass while a process stands still,
+// and has data arrive before. It guards against a request that is dropped since this process
+// ran late.
+func TestDataBeforeDeadline(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, raw.Close()) }()
+	client, err := net.Dial("tcp", raw.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, client.Close()) }()
+	conn, err := sock.Listener{Listener: raw, IdleTimeout: readTimeout, ReadTimeout: readTimeout}.Accept()
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	buf := make([]byte, 16)
+	for _, state := range []fasthttp.ConnState{fasthttp.StateIdle, fasthttp.StateActive} {
+		sock.FollowState(conn, state)
+		_, err = client.Write([]byte("data"))
+		assert.NilError(t, err)
+		time.Sleep(2 * readTimeout)
+		num, err := conn.Read(buf)
+		assert.NilError(t, err, "%v", state)
+		assert.Equal(t, string(buf[:num]), "data")
+		_, err = conn.Read(buf)
+		assert.Assert(t, err != nil, "%v", state)
+	}
+}
