--- a/core/place/drains_test.go
+++ b/core/place/drains_test.go
@@ -159,6 +159,16 @@
 	checkViolations(t, fc)
 }
 
+// TestRebornHead restarts a head under its ID. The group must serve again without a wait. It
+// guards against an epoch whose head has ended and counts as one that may serve.
+func TestRebornHead(t *testing.T) {
+	fc, pl := newFormedCluster(t, 2)
+	fc.Reborn(fc.ServingHeads(large)[0].ID())
+	fc.Run(pl, largeModel.WarmLoadTime+2500*time.Millisecond)
+	assert.Equal(t, len(fc.ServingHeads(large)), 2)
+	checkViolations(t, fc)
+}
+
 // TestOpenHeadWithoutEntry cuts a head off from the orderer and the store for a minute, with
 // and without spares, while it stays in touch with its members. It guards against members that
 // are ordered into other groups since their head has been silent for long.
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -249,7 +249,12 @@
 	for id, srv := range in.View.Servers() {
 		hist := pl.servers[id]
 		if hist == nil || hist.startMillis != srv.StartMillis {
-			hist = &serverHistory{startMillis: srv.StartMillis, seenSince: in.Now, domain: srv.Domain, zone: srv.Zone}
+			next := &serverHistory{startMillis: srv.StartMillis, seenSince: in.Now, domain: srv.Domain, zone: srv.Zone}
+			if hist != nil {
+				// The process before has left its epoch.
+				next.epoch = hist.epoch
+			}
+			hist = next
 			pl.servers[id] = hist
 		}
 		if !hist.goneSince.IsZero() {
--- a/model/emul/cluster.go
+++ b/model/emul/cluster.go
@@ -197,6 +197,14 @@
 	return next
 }
 
+// Reborn restarts a server under its ID. It has lost its group.
+func (cl *Cluster) Reborn(id string) {
+	eng := cl.engines[id]
+	cl.startCount++
+	eng.leave()
+	eng.server.StartMillis, eng.highestTerm, eng.highestEpoch, eng.lastModel, eng.pinned = cl.startCount, 0, 0, "", nil
+}
+
 // Drain lets a server announce that it is about to stop.
 func (cl *Cluster) Drain(id string) { cl.engines[id].server.Draining = true }
 
