--- a/core/place/drains_test.go
+++ b/core/place/drains_test.go
@@ -170,7 +170,7 @@
 }
 
 // TestOpenHeadWithoutEntry cuts a head off from the orderer and the store for a minute, with
-// and without spares, while it stays in touch with its members. It guards against members that
+// and without spares, while its members reach it. It guards against members that
 // are ordered into other groups since their head has been silent for long.
 func TestOpenHeadWithoutEntry(t *testing.T) {
 	for seed := range 20 {
